--- /dev/null
+++ b/decide/decide.go
@@ -0,0 +1,728 @@
+// The decision module. A caller makes one Dispatcher with New, sets its clock with Clock and then calls the
+// method that names what has happened (Landed, Started, Progressed, Ended, Left, Woke, Listed, ListFailed,
+// Probed, Heard); answers go out through Link while the call runs. Types and Link are in types.go.
+package decide
+
+import (
+	"cmp"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"slices"
+)
+
+// Ratios of the design. Those of time are to the figure named beside them.
+const (
+	lanes       = 2   // intervals of equal work, each with its own block
+	sampleMost  = 128 // own hints behind the cut points: older ones drop out
+	sampleLeast = 50  // hints before lanes are cut
+	passOver    = 2.0 // of the lane's mean in flight per worker
+	coldMargin  = 0.5 // of a cold worker's budget is kept back, as hints are rough
+	slowPace    = 1.8 // of the fleet's pace: a worker slower than this is suspect
+	learn       = 0.2 // weight of a new sample in a running figure
+	slotsFirst  = 8.0 // slots believed before anything was refused or kept waiting
+)
+
+// New derives a dispatcher's figures from its terms.
+func New(t Terms, seed uint64, link Link) (*Dispatcher, error) {
+	switch {
+	case len(t.Operations) == 0:
+		return nil, errors.New("operations: there must be at least one")
+	case t.Dispatchers < 1:
+		return nil, fmt.Errorf("dispatchers: %d, must be at least 1", t.Dispatchers)
+	case t.Granularity < 0 || t.Ramp < 0 || t.FallSpan < 0 || t.AskWithin < 0 || t.ComeBackMost < 0 || t.DrainGrace < 0:
+		return nil, errors.New("times: none may be negative")
+	}
+	d := &Dispatcher{link: link, seed: seed, zone: t.Zone, share: 1 / float64(t.Dispatchers),
+		coldFrom: t.ColdFrom, multiple: t.FallMultiple, crossing: t.CrossCost, margin: 2*max(t.Granularity, 1) + 10,
+		askWithin: t.AskWithin, comeBack: t.ComeBackMost, ramp: t.Ramp, span: t.FallSpan,
+		forwardsMost: t.ForwardsMost, askForList: t.AskForList, cancels: t.MayCancel, copies: t.Copies,
+		probes: t.Probes && t.ReportsOnProbe, peers: t.Peers && t.Dispatchers > 1, startNotes: t.StartNotes,
+		onProbe: t.ReportsOnProbe, atInFlight: t.ReportInFlight, atQueue: t.ReportQueue, atFree: t.ReportFree,
+		fleetPace: 1, peerLoad: map[Peer]map[uint16]int{}, patience: math.MaxInt64}
+	for n, o := range t.Operations {
+		if o.Objective < 0 || o.ClientTimeout < 0 || o.Window < 0 {
+			return nil, fmt.Errorf("operations[%d]: a negative time", n)
+		}
+		d.ops = append(d.ops, operation{objective: o.Objective, window: o.Window, longest: 0, stretch: o.Stretch,
+			tardy: o.TardyShare, value: o.Value, repeat: o.Repeat, scope: o.Scope, kind: o.Kind})
+		d.patience = min(d.patience, o.Objective/10)
+	}
+	for _, c := range t.Customers {
+		d.quota = append(d.quota, c.Quota*d.share)
+	}
+	d.used, d.usedAt = make([]float64, len(d.quota)), make([]Time, len(d.quota))
+	d.slots, d.most = make([]float64, max(t.Kinds, 1)), make([]float64, max(t.Kinds, 1))
+	for k := range d.slots {
+		d.slots[k], d.most[k] = slotsFirst, 1
+	}
+	for l := range d.turn {
+		d.turn[l] = int(d.chance() % (1 << 20))
+	}
+	return d, nil
+}
+
+// The inputs. Each notes what has happened and goes through the rules.
+
+func (d *Dispatcher) Clock(now Time) { d.now = now }
+
+func (d *Dispatcher) Landed(inv Inv, l Landing) {
+	for int(inv) >= len(d.invs) {
+		d.invs = append(d.invs, invocation{})
+	}
+	o, i := &d.ops[l.Operation], &d.invs[inv]
+	o.longest = max(o.longest, l.Grace)
+	elapsed := o.longest - l.Grace // what the client has spent on earlier tries
+	*i = invocation{op: l.Operation, landed: d.now, timeout: d.now + l.Grace - d.margin, forwards: i.forwards[:0],
+		size: Work(float64(l.Hint) * max(l.Slots, 1)), surplus: d.spendShare(l.Customer), place: len(d.open)}
+	if i.size > 0 {
+		d.takeHint(i.size)
+	} else {
+		i.size = d.medianSize()
+	}
+	i.lane = d.laneOf(i.size)
+	i.due = d.now - elapsed + o.objective + Time(o.stretch*float64(l.Hint))
+	d.open, d.held = append(d.open, inv), append(d.held, inv)
+	d.room, d.sweepAt = true, min(d.sweepAt, d.now+d.patience)
+	d.settle()
+}
+
+func (d *Dispatcher) Started(inv Inv, n int) {
+	if f := d.forwardOut(inv, n); f != nil && f.started == 0 {
+		f.started = d.now
+		d.waiting[f.tgt]--
+		d.fits(f.tgt, d.load(f.tgt), d.now-f.sent < d.patience)
+		d.room = true
+		d.settle()
+	}
+}
+
+func (d *Dispatcher) Progressed(inv Inv, n int, share float64) {
+	if f := d.forwardOut(inv, n); f != nil && share > 0 && f.started > 0 {
+		if run := float64(d.now-f.started) / share; run > float64(d.invs[inv].size) {
+			d.learnPace(f.tgt, run, d.invs[inv].size, learn/2)
+		}
+		d.settle()
+	}
+}
+
+func (d *Dispatcher) Ended(inv Inv, n int, how Outcome, closed bool, report []float64) {
+	f := d.forwardOut(inv, n)
+	if f == nil {
+		return
+	}
+	i, w := &d.invs[inv], f.tgt
+	f.out, f.ran = false, how != Full && how != NoConnection && how != Moot
+	i.out--
+	d.own[w]--
+	if f.started == 0 && d.startNotes {
+		d.waiting[w]--
+	}
+	switch how {
+	case Succeeded:
+		from := f.started
+		if from == 0 {
+			from = f.sent
+		}
+		d.learnPace(w, float64(d.now-from), i.size, learn)
+		d.fails[w] = 0
+	case Full:
+		d.fits(w, d.load(w)+1, false)
+		d.trialAt[w] = d.now + d.patience
+	case NoConnection, Reset:
+		// A crash or a cut link: nothing more goes there until a trial, later each time.
+		d.fails[w]++
+		d.downUntil[w] = d.now + Second<<min(d.fails[w]-1, 3)
+		d.link.Log(fmt.Sprintf("worker %d suspected down, failure %d", w, d.fails[w]))
+	}
+	d.note(w)
+	d.report(w, report)
+	if closed {
+		d.end(inv, -1)
+	} else if !i.over && i.out == 0 {
+		if d.mayGoOn(i) {
+			d.held = append(d.held, inv)
+		} else {
+			d.giveUp(inv)
+		}
+	}
+	d.room = true
+	d.settle()
+}
+
+func (d *Dispatcher) Left(inv Inv) {
+	if int(inv) < len(d.invs) && !d.invs[inv].over {
+		d.end(inv, -1)
+		d.settle()
+	}
+}
+
+// Streams tells that an answer has begun to flow: the client has it, and no time-out counts any more.
+func (d *Dispatcher) Streams(inv Inv, n int) {
+	if f := d.forwardOut(inv, n); f != nil && !d.invs[inv].over {
+		d.end(inv, n)
+		d.settle()
+	}
+}
+
+func (d *Dispatcher) Operations() int { return len(d.ops) }
+
+func (d *Dispatcher) Woke(key uint64) {
+	if Time(key) == d.wakeAt {
+		d.wakeAt = 0
+	}
+	d.settle()
+}
+
+func (d *Dispatcher) ListFailed() {
+	// The list service is overloaded or away: ask again later and later, so as not to flood it.
+	d.asks++
+	d.subscribed, d.asking = false, false
+	wait := min(d.askWithin/2, Second/2<<min(d.asks, 4))
+	d.askAt = d.now + wait/2 + Time(d.chance()%uint64(wait/2+1))
+	d.settle()
+}
+
+// Listed takes a list or a change to it; answer tells whether it may be the answer to a subscription.
+func (d *Dispatcher) Listed(entries []Entry, whole, answer bool) {
+	if answer && d.asking {
+		d.subscribed, d.asking, d.asks = true, false, 0
+	}
+	if whole {
+		for w := range d.state {
+			d.state[w] = Gone
+		}
+	}
+	for _, e := range entries {
+		for int(e.Tgt) >= len(d.hash) {
+			d.addWorker()
+		}
+		w := e.Tgt
+		h := fnv.New64a()
+		h.Write([]byte(e.ID))
+		if e.Born > d.born[w] {
+			// A restart: what was known of the process is void, and it is cold.
+			d.born[w], d.pace[w], d.fails[w], d.downUntil[w] = e.Born, 1, 0, 0
+		}
+		d.hash[w], d.workerZone[w], d.kind[w], d.cell[w], d.state[w] = h.Sum64(), e.Zone, e.Kind, e.Cell, e.State
+	}
+	d.ring = d.ring[:0]
+	for w, s := range d.state {
+		if s != Gone {
+			d.ring = append(d.ring, Worker(w))
+		}
+	}
+	slices.SortFunc(d.ring, func(a, b Worker) int { return cmp.Compare(d.hash[a], d.hash[b]) })
+	d.room = true
+	d.settle()
+}
+
+func (d *Dispatcher) Probed(w Worker, how Outcome, report []float64) {
+	if how == Succeeded {
+		d.report(w, report)
+	}
+	d.settle()
+}
+
+// Heard takes a peer's in-flight counts: three bytes a worker, two of its hash and one of the count.
+func (d *Dispatcher) Heard(from Peer, text []byte) {
+	load := d.peerLoad[from]
+	if load == nil {
+		load = map[uint16]int{}
+		d.peerLoad[from] = load
+	}
+	for ; len(text) >= 3; text = text[3:] {
+		tag := binary.BigEndian.Uint16(text)
+		for _, w := range d.ring {
+			if uint16(d.hash[w]) == tag {
+				d.others[w] += int(text[2]) - load[tag]
+				d.heardAt[w] = d.now
+				d.room = d.room || int(text[2]) < load[tag]
+			}
+		}
+		load[tag] = int(text[2])
+	}
+	d.settle()
+}
+
+// The rules, in order. After every input they are gone through from the top until none fires.
+var rules = []struct {
+	when func(*Dispatcher) bool
+	do   func(*Dispatcher)
+}{
+	{ // the list must be asked for
+		func(d *Dispatcher) bool { return d.askForList && !d.subscribed && !d.asking && d.now >= d.askAt },
+		func(d *Dispatcher) { d.asking = true; d.link.Subscribe() },
+	},
+	{ // some open invocation may be due for an answer or another forward
+		func(d *Dispatcher) bool { return len(d.open) > 0 && d.now >= d.sweepAt },
+		(*Dispatcher).sweep,
+	},
+	{ // held invocations go where there is room
+		func(d *Dispatcher) bool { return d.room && len(d.held) > 0 },
+		(*Dispatcher).placeHeld,
+	},
+	{ // load reports come with probes alone
+		func(d *Dispatcher) bool { return d.probes && len(d.ring) > 0 && len(d.open) > 0 && d.now >= d.probeAt },
+		func(d *Dispatcher) {
+			d.probeNext++
+			d.probeAt = d.now + Second/2/Time(len(d.ring))
+			d.link.Probe(d.ring[d.probeNext%len(d.ring)])
+		},
+	},
+	{ // peers learn of changes in what is in flight here
+		func(d *Dispatcher) bool { return d.peers && len(d.changed) > 0 && d.now >= d.tellAt },
+		(*Dispatcher).tell,
+	},
+	{ // something is still to be done later
+		func(d *Dispatcher) bool { at := d.nextAt(); return at > 0 && (d.wakeAt == 0 || at < d.wakeAt) },
+		func(d *Dispatcher) {
+			d.wakeAt = max(d.nextAt(), d.now+1)
+			d.link.Wake(uint64(d.wakeAt), d.wakeAt-d.now)
+		},
+	},
+}
+
+func (d *Dispatcher) settle() {
+	for n := 0; n < len(rules); n++ {
+		if rules[n].when(d) {
+			rules[n].do(d)
+			n = -1
+		}
+	}
+}
+
+func (d *Dispatcher) nextAt() Time {
+	at := Time(0)
+	if len(d.open) > 0 {
+		at = d.sweepAt
+	}
+	if d.askForList && !d.subscribed && !d.asking && (at == 0 || d.askAt < at) {
+		at = d.askAt
+	}
+	if len(d.changed) > 0 && (at == 0 || d.tellAt < at) {
+		at = d.tellAt
+	}
+	return at
+}
+
+// Lanes.
+
+func (d *Dispatcher) takeHint(size Work) {
+	if len(d.sample) < sampleMost {
+		d.sample = append(d.sample, size)
+	} else {
+		d.sample[d.sampled%sampleMost] = size
+	}
+	d.sampled++
+	if d.sampled >= sampleLeast && (d.sampled == sampleLeast || d.sampled%(sampleMost/8) == 0) {
+		d.cut()
+	}
+}
+
+// cut sets the cut points so that each interval of sizes holds the same work.
+func (d *Dispatcher) cut() {
+	sorted, total := slices.Sorted(slices.Values(d.sample)), Work(0)
+	for _, s := range sorted {
+		total += s
+	}
+	d.cuts = d.cuts[:0]
+	sum := Work(0)
+	for _, s := range sorted {
+		if len(d.cuts) < lanes-1 && sum*lanes >= total*Work(len(d.cuts)+1) {
+			d.cuts = append(d.cuts, s)
+		}
+		sum += s
+	}
+}
+
+func (d *Dispatcher) medianSize() Work {
+	if len(d.sample) == 0 {
+		return 0
+	}
+	return slices.Sorted(slices.Values(d.sample))[len(d.sample)/2]
+}
+
+func (d *Dispatcher) laneOf(size Work) int {
+	lane := 0
+	for lane < len(d.cuts) && size >= d.cuts[lane] {
+		lane++
+	}
+	return lane
+}
+
+// block is a lane's part of the ring, the same at every dispatcher.
+func (d *Dispatcher) block(lane int) (lo, hi int) {
+	if len(d.cuts) == 0 || len(d.ring) < lanes {
+		return 0, len(d.ring)
+	}
+	return len(d.ring) * lane / lanes, len(d.ring) * (lane + 1) / lanes
+}
+
+// choose turns the lane's rotation to the next worker with room; where the block has none, it borrows.
+func (d *Dispatcher) choose(i *invocation) (Worker, bool) {
+	lo, hi := d.block(i.lane)
+	for _, near := range [2]bool{true, false} {
+		if near && d.crossing == 0 {
+			continue
+		}
+		if w, ok := d.rotate(i, &d.turn[i.lane], lo, hi, near); ok {
+			return w, true
+		}
+		if w, ok := d.rotate(i, &d.turn[lanes], 0, len(d.ring), near); ok {
+			return w, true
+		}
+	}
+	return 0, false
+}
+
+func (d *Dispatcher) rotate(i *invocation, turn *int, lo, hi int, near bool) (Worker, bool) {
+	n, mean := hi-lo, 0.0
+	for _, w := range d.ring[lo:hi] {
+		mean += float64(d.own[w]) / float64(n)
+	}
+	for k := range n {
+		w := d.ring[lo+(*turn+k)%n]
+		if near && d.workerZone[w] != d.zone || float64(d.own[w]) > passOver*max(mean, 1) {
+			continue
+		}
+		if d.usable(w, i) && d.mayForward(i, w) {
+			*turn = (*turn + k + 1) % n
+			return w, true
+		}
+	}
+	return 0, false
+}
+
+// usable tells whether a worker may take this invocation now.
+func (d *Dispatcher) usable(w Worker, i *invocation) bool {
+	kind := d.ops[i.op].kind
+	return d.state[w] == Healthy && (kind < 0 || kind == d.kind[w]) && d.now >= d.downUntil[w] && d.now >= d.trialAt[w] &&
+		(d.fails[w] == 0 || d.own[w] == 0) && d.waiting[w] == 0 && float64(d.load(w)) < d.slotsOf(w) &&
+		(d.own[w] == 0 || !d.suspect(w)) && d.withinCold(w, i.size)
+}
+
+func (d *Dispatcher) load(w Worker) int { return d.own[w] + max(d.others[w], 0) }
+
+func (d *Dispatcher) slotsOf(w Worker) float64 {
+	return math.Round(d.slots[d.kind[w]] * d.warmth(w))
+}
+
+// warmth is the share of its capacity that a worker surely has, by its age.
+func (d *Dispatcher) warmth(w Worker) float64 {
+	if d.born[w] == 0 || d.ramp == 0 || d.now-d.born[w] >= d.ramp {
+		return 1
+	}
+	return d.coldFrom + (1-d.coldFrom)*float64(max(d.now-d.born[w], 0))/float64(d.ramp)
+}
+
+// withinCold keeps this dispatcher's part of what all together may send a cold worker within the span.
+func (d *Dispatcher) withinCold(w Worker, size Work) bool {
+	warmth := d.warmth(w)
+	if warmth == 1 {
+		return true
+	}
+	sent := size
+	for _, s := range d.spent[w] {
+		if s.at > d.now-d.span {
+			sent += s.work
+		}
+	}
+	budget := d.multiple * warmth * d.most[d.kind[w]] * float64(d.span) * d.share
+	return float64(sent) <= budget*(1-coldMargin)
+}
+
+// suspect tells of a worker far slower than the fleet. Where most seem so, the fleet has changed, not they.
+func (d *Dispatcher) suspect(w Worker) bool {
+	if d.pace[w] < slowPace*d.fleetPace {
+		return false
+	}
+	n := 0
+	for _, v := range d.ring {
+		if d.pace[v] >= slowPace*d.fleetPace {
+			n++
+		}
+	}
+	return n*2 <= len(d.ring)
+}
+
+// mayForward is the rule against double effects, for one more forward to w.
+func (d *Dispatcher) mayForward(i *invocation, w Worker) bool {
+	if i.over || d.now >= i.timeout || len(i.forwards) >= d.forwardsMost || i.out > 0 && !d.copies {
+		return false
+	}
+	o := &d.ops[i.op]
+	for _, f := range i.forwards {
+		if f.out && f.tgt == w {
+			return false
+		}
+		if !f.out && !f.ran || o.repeat == Idempotent {
+			continue
+		}
+		if o.repeat == NonIdempotent || d.now >= f.sent+o.window-d.margin || !d.sameGroup(o.scope, f.tgt, w) {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *Dispatcher) sameGroup(s Scope, a, b Worker) bool {
+	return s == ScopeAll || s == ScopeZone && d.workerZone[a] == d.workerZone[b] ||
+		s == ScopeCell && d.cell[a] == d.cell[b]
+}
+
+// mayThrottle tells whether the client may be told that another try does no harm.
+func (d *Dispatcher) mayThrottle(i *invocation) bool {
+	o := &d.ops[i.op]
+	for _, f := range i.forwards {
+		if (f.out || f.ran) && (o.repeat == NonIdempotent || o.repeat == Deduplicated && o.scope != ScopeAll) {
+			return false
+		}
+	}
+	return true
+}
+
+// mayGoOn tells whether any worker listed could still be sent this invocation.
+func (d *Dispatcher) mayGoOn(i *invocation) bool {
+	for _, w := range d.ring {
+		if d.state[w] == Healthy && d.mayForward(i, w) {
+			return true
+		}
+	}
+	return false
+}
+
+// placeHeld sends what is held, the most urgent first, for as long as there is room.
+func (d *Dispatcher) placeHeld() {
+	d.room = false
+	if len(d.held) > 1 {
+		slices.SortStableFunc(d.held, func(a, b Inv) int { return d.before(&d.invs[a], &d.invs[b]) })
+	}
+	kept := d.held[:0]
+	for _, inv := range d.held {
+		i := &d.invs[inv]
+		if i.over {
+			continue
+		}
+		if w, ok := d.choose(i); ok {
+			d.forward(inv, w)
+		} else {
+			kept = append(kept, inv)
+		}
+	}
+	d.held = kept
+}
+
+// before orders held invocations: in time and in share first, then by the latest start that is in time.
+func (d *Dispatcher) before(a, b *invocation) int {
+	return cmp.Or(cmp.Compare(d.tier(a), d.tier(b)), cmp.Compare(a.due-Time(a.size), b.due-Time(b.size)))
+}
+
+func (d *Dispatcher) tier(i *invocation) int {
+	t := 0
+	if i.surplus {
+		t = 1
+	}
+	if d.late(i) {
+		t += 2
+	}
+	return t
+}
+
+// late tells that a forward made now would miss the latency objective.
+func (d *Dispatcher) late(i *invocation) bool { return d.now+Time(i.size) > i.due }
+
+func (d *Dispatcher) forward(inv Inv, w Worker) {
+	i := &d.invs[inv]
+	i.forwards = append(i.forwards, forward{tgt: w, sent: d.now, out: true})
+	i.out++
+	d.own[w]++
+	if d.startNotes {
+		d.waiting[w]++
+	}
+	if d.warmth(w) < 1 {
+		d.spent[w] = append(slices.DeleteFunc(d.spent[w], func(s spend) bool { return s.at <= d.now-d.span }),
+			spend{d.now, i.size})
+	}
+	d.note(w)
+	d.link.Forward(inv, w, 0)
+}
+
+// sweep looks over all that is open and finds when to look again.
+func (d *Dispatcher) sweep() {
+	d.sweepAt = d.now + d.patience
+	for n := len(d.open) - 1; n >= 0; n-- {
+		inv := d.open[n]
+		i := &d.invs[inv]
+		switch {
+		case d.now >= i.timeout:
+			d.giveUp(inv) // no outcome came in time: the client still gets its final answer
+		case i.out == 0 && d.hopeless(i):
+			d.giveUp(inv)
+		case i.out == 1:
+			d.rescue(inv)
+		}
+		if !i.over {
+			d.sweepAt = min(d.sweepAt, i.timeout)
+		}
+	}
+	d.sweepAt = max(d.sweepAt, d.now+1)
+	d.room = true
+}
+
+// hopeless tells of a held invocation whose wait will not be paid for.
+func (d *Dispatcher) hopeless(i *invocation) bool {
+	if !d.late(i) {
+		return false
+	}
+	return d.ops[i.op].tardy == 0 || d.now > (i.due+i.timeout)/2
+}
+
+// rescue sends a second copy where a forward sits unstarted or crawls, and calls off one that has not started.
+func (d *Dispatcher) rescue(inv Inv) {
+	i := &d.invs[inv]
+	f := &i.forwards[len(i.forwards)-1]
+	stuck := d.startNotes && f.started == 0 && d.now-f.sent >= d.patience
+	from := max(f.started, f.sent)
+	crawls := !stuck && float64(d.now-from) > slowPace*d.fleetPace*float64(i.size) && d.suspect(f.tgt)
+	if !f.out || len(d.held) > 0 || d.late(i) || !(stuck || crawls) {
+		return
+	}
+	if stuck {
+		d.fits(f.tgt, d.load(f.tgt), false)
+	}
+	w, ok := d.choose(i)
+	if !ok {
+		return
+	}
+	n := len(i.forwards) - 1
+	d.forward(inv, w)
+	if stuck && d.cancels {
+		d.link.Cancel(inv, n)
+	}
+}
+
+// giveUp gives the final answer at once: throttled where that is permitted, else errored.
+func (d *Dispatcher) giveUp(inv Inv) {
+	i := &d.invs[inv]
+	if d.mayThrottle(i) {
+		d.link.Throttle(inv, 0)
+	} else {
+		d.link.Error(inv)
+	}
+	d.end(inv, -1)
+}
+
+// end closes an invocation; forwards other than the one kept are called off.
+func (d *Dispatcher) end(inv Inv, keep int) {
+	i := &d.invs[inv]
+	if i.over {
+		return
+	}
+	for n, f := range i.forwards {
+		if f.out && d.cancels && n != keep {
+			d.link.Cancel(inv, n)
+		}
+	}
+	i.over = true
+	last := d.open[len(d.open)-1]
+	d.open[i.place], d.invs[last].place = last, i.place
+	d.open = d.open[:len(d.open)-1]
+}
+
+// What is learnt.
+
+func (d *Dispatcher) forwardOut(inv Inv, n int) *forward {
+	if int(inv) >= len(d.invs) || n < 0 || n >= len(d.invs[inv].forwards) || !d.invs[inv].forwards[n].out {
+		return nil
+	}
+	return &d.invs[inv].forwards[n]
+}
+
+// fits moves the slots believed toward what a start at once, or a wait, shows.
+func (d *Dispatcher) fits(w Worker, load int, atOnce bool) {
+	k := d.kind[w]
+	if d.warmth(w) < 1 {
+		return
+	}
+	if atOnce {
+		d.most[k] = max(d.most[k], float64(d.own[w]-d.waiting[w]))
+		d.slots[k] = max(d.slots[k], d.slots[k]+learn*(float64(load)-d.slots[k]))
+	} else {
+		d.slots[k] = max(d.most[k], min(d.slots[k], d.slots[k]+learn*(float64(load-1)-d.slots[k])))
+	}
+}
+
+func (d *Dispatcher) learnPace(w Worker, run float64, size Work, weight float64) {
+	if size <= 0 || d.warmth(w) < 1 {
+		return
+	}
+	p := min(max(run/float64(size), d.fleetPace/4), d.fleetPace*4)
+	d.pace[w] += weight * (p - d.pace[w])
+	d.fleetPace += weight / float64(len(d.ring)+1) * (p - d.fleetPace)
+}
+
+func (d *Dispatcher) report(w Worker, r []float64) {
+	if len(r) == 0 || d.atFree < 0 || d.atFree >= len(r) {
+		return
+	}
+	free, k := r[d.atFree], d.kind[w]
+	if d.atInFlight >= 0 && d.atQueue >= 0 {
+		d.others[w] = int(math.Round(r[d.atInFlight])) - d.own[w]
+		free += r[d.atInFlight] - r[d.atQueue]
+	}
+	if free > d.most[k] && d.warmth(w) == 1 {
+		d.most[k] = math.Round(free)
+		d.slots[k] = d.most[k]
+	}
+}
+
+// spendShare notes a landing against its customer's share and tells whether it goes beyond.
+func (d *Dispatcher) spendShare(c Customer) bool {
+	if int(c) >= len(d.quota) || d.quota[c] <= 0 {
+		return false
+	}
+	d.used[c] = max(0, d.used[c]-d.quota[c]*float64(d.now-d.usedAt[c])/Second) + 1
+	d.usedAt[c] = d.now
+	return d.used[c] > 2*d.quota[c]+1
+}
+
+func (d *Dispatcher) addWorker() {
+	d.hash, d.workerZone, d.kind = append(d.hash, 0), append(d.workerZone, 0), append(d.kind, 0)
+	d.cell, d.state, d.born = append(d.cell, 0), append(d.state, Gone), append(d.born, 0)
+	d.downUntil, d.trialAt, d.heardAt = append(d.downUntil, 0), append(d.trialAt, 0), append(d.heardAt, 0)
+	d.own, d.waiting, d.others = append(d.own, 0), append(d.waiting, 0), append(d.others, 0)
+	d.fails, d.pace, d.spent = append(d.fails, 0), append(d.pace, 1), append(d.spent, nil)
+	d.told = append(d.told, 0)
+}
+
+// note remembers that peers are to be told of a worker.
+func (d *Dispatcher) note(w Worker) {
+	if d.peers && !slices.Contains(d.changed, w) {
+		d.changed = append(d.changed, w)
+	}
+}
+
+func (d *Dispatcher) tell() {
+	d.text = d.text[:0]
+	for _, w := range d.changed {
+		d.text = binary.BigEndian.AppendUint16(d.text, uint16(d.hash[w]))
+		d.text = append(d.text, byte(min(d.own[w], 255)))
+	}
+	d.changed = d.changed[:0]
+	d.tellAt = d.now + d.margin
+	d.link.Tell(d.text)
+}
+
+// chance draws the next number of this dispatcher's own.
+func (d *Dispatcher) chance() uint64 {
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:8], d.seed)
+	binary.BigEndian.PutUint64(b[8:], d.chances)
+	d.chances++
+	h := fnv.New64a()
+	h.Write(b[:])
+	return h.Sum64()
+}
--- /dev/null
+++ b/decide/types.go
@@ -0,0 +1,134 @@
+// Package decide holds canvasroute's decisions. This file has its types and the two interfaces:
+// the methods of Dispatcher that are called with what has happened, and Link, which it answers through.
+package decide
+
+// Time is a moment or a span in whole tenths of a millisecond. Work is core time in the same unit.
+type (
+	Time int64
+	Work int64
+)
+
+// Second is one second of Time, and of Work on a core of standard speed.
+const Second = 10_000
+
+// The kinds of id. Each counts from 0 within one dispatcher.
+type (
+	Inv       int32 // an invocation; the caller numbers them and may use a number again once all is over
+	Worker    int32 // a worker; the caller numbers them as the lists name them
+	Operation int32
+	Customer  int32
+	Zone      int32
+	Kind      int32
+	Cell      int32
+	Peer      int32
+)
+
+// Repeat tells whether an operation may run again.
+type Repeat uint8
+
+const (
+	Idempotent Repeat = iota
+	Deduplicated
+	NonIdempotent
+)
+
+// Scope is the group of workers that drops an operation's repeats.
+type Scope uint8
+
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// State is what the list says of a worker.
+type State uint8
+
+const (
+	Healthy State = iota
+	Draining
+	Gone
+)
+
+// Outcome is how one forward, or one probe, ended.
+type Outcome uint8
+
+const (
+	Succeeded Outcome = iota + 1
+	WorkerError
+	Full
+	TimedOut
+	NoConnection
+	Reset
+	Cancelled
+	Moot
+)
+
+// OperationTerms are the terms of one operation.
+type OperationTerms struct {
+	Objective, ClientTimeout, Window Time
+	Stretch, Value, TardyShare       float64
+	Repeat                           Repeat
+	Scope                            Scope
+	Kind                             Kind // the one kind of worker that runs it, or -1
+	Priority                         int
+	Streamed                         bool
+}
+
+// CustomerTerms are the terms of one customer: its invocations a second that count in full.
+type CustomerTerms struct{ Quota float64 }
+
+// Terms are what a dispatcher is told at its start. New derives its figures from them and keeps none.
+type Terms struct {
+	Dispatchers, Position, Kinds                    int
+	Zone                                            Zone
+	Zones                                           int
+	Operations                                      []OperationTerms
+	Customers                                       []CustomerTerms
+	Granularity, AskWithin, ComeBackMost, Ramp      Time
+	DrainGrace, FallSpan                            Time
+	AskForList                                      bool
+	MayCancel, Copies, Probes, Peers, ComeBack      bool
+	StartNotes                                      bool
+	Progress                                        Time
+	ForwardsMost, OpenMost                          int
+	ColdFrom, FallMultiple, SurplusShare, CrossCost float64
+	ProbeCost, PeerCost, WasteCost                  float64
+	ReportInFlight, ReportQueue, ReportFree         int // places in a load report, -1 where not reported
+	ReportsOnProbe                                  bool
+}
+
+// Entry is a worker as a list names it.
+type Entry struct {
+	Tgt    Worker
+	ID     string
+	Zone   Zone
+	Kind   Kind
+	Cell   Cell
+	State  State
+	Born   Time // when it last started; 0 means long ago
+	Weight float64
+}
+
+// Landing is an invocation as it lands.
+type Landing struct {
+	Operation Operation
+	Customer  Customer
+	Grace     Time // until the client gives up this try
+	Hint      Work // 0 where there is none
+	Slots     float64
+	Repeat    bool
+}
+
+// Link carries a dispatcher's answers out. Forwards of an invocation are numbered 0, 1, 2... as made.
+type Link interface {
+	Forward(inv Inv, tgt Worker, within Time)
+	Cancel(inv Inv, forward int)
+	Throttle(inv Inv, comeBack Time)
+	Error(inv Inv)
+	Wake(key uint64, after Time)
+	Subscribe()
+	Probe(tgt Worker)
+	Tell(text []byte) // to every peer
+	Log(line string)
+}
--- /dev/null
+++ b/internal/drill/drill.go
@@ -0,0 +1,304 @@
+// Package drill plays decide's dispatchers on the bench's wire: it turns each event straight into a call and
+// writes each answer straight into the reply. It decides nothing.
+package drill
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/valyala/fastjson"
+
+	"canvasroute/decide"
+)
+
+// instance is one dispatcher with its own names for what the wire calls by text.
+type instance struct {
+	number     int
+	dispatcher *decide.Dispatcher
+	reply      *reply
+
+	workers map[string]decide.Worker
+	names   []string // a worker's name on the wire, quoted
+	invs    map[string]decide.Inv
+	tracks  []track
+	free    []decide.Inv
+	done    []decide.Inv // over and with nothing out, to be freed when the call returns
+	closed  bool         // the terms failed: nothing more is expected of it
+}
+
+// track follows an invocation until its last outcome, so that its number can be used again.
+type track struct {
+	name   string
+	quoted string
+	sent   int // forwards made so far
+	out    int
+	over   bool
+}
+
+// host holds the instances of one process and the numbered lists that they are told of.
+type host struct {
+	instances map[int]*instance
+	lists     map[int][]entry
+	reply     reply
+}
+
+// Run reads batches until the input ends, and answers each with one line.
+func Run(in io.Reader, out io.Writer) error {
+	lines, w := bufio.NewReaderSize(in, 1<<20), bufio.NewWriterSize(out, 1<<16)
+	h := &host{instances: map[int]*instance{}, lists: map[int][]entry{}}
+	var parser fastjson.Parser
+	var line []byte
+	for n := 1; ; n++ {
+		var err error
+		line, err = readLine(lines, line[:0])
+		if errors.Is(err, io.EOF) && len(line) == 0 {
+			return nil
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return fmt.Errorf("line %d: %w", n, err)
+		}
+		batch, err := parser.ParseBytes(line)
+		if err != nil {
+			return fmt.Errorf("line %d: malformed: %w", n, err)
+		}
+		if err := h.batch(batch); err != nil {
+			return fmt.Errorf("line %d: %w", n, err)
+		}
+		if _, err := w.Write(h.reply.buf); err != nil {
+			return fmt.Errorf("writing the reply: %w", err)
+		}
+		if err := w.Flush(); err != nil {
+			return fmt.Errorf("writing the reply: %w", err)
+		}
+	}
+}
+
+func readLine(r *bufio.Reader, line []byte) ([]byte, error) {
+	for {
+		part, err := r.ReadSlice('\n')
+		line = append(line, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
+
+func (h *host) batch(v *fastjson.Value) error {
+	frame, happened := v.Get("frame"), v.Get("happened")
+	if frame == nil || happened == nil || v.Get("wallS") == nil {
+		return errors.New("a batch needs frame, wallS and happened")
+	}
+	number, err := frame.Uint64()
+	if err != nil {
+		return fmt.Errorf("frame: %w", err)
+	}
+	now, err := v.Get("wallS").Float64()
+	if err != nil {
+		return fmt.Errorf("wallS: %w", err)
+	}
+	events, err := happened.Array()
+	if err != nil {
+		return fmt.Errorf("happened: %w", err)
+	}
+	h.reply.start(number)
+	for n, e := range events {
+		o, err := e.Object()
+		if err != nil || o.Len() != 1 {
+			return fmt.Errorf("event %d: not an object of one key", n)
+		}
+		o.Visit(func(key []byte, fields *fastjson.Value) {
+			if err == nil {
+				if err = h.event(key, fields, clock(now)); err != nil {
+					err = fmt.Errorf("event %d, %s: %w", n, key, err)
+				}
+			}
+		})
+		if err != nil {
+			return err
+		}
+	}
+	h.reply.end()
+	return nil
+}
+
+func (h *host) event(key []byte, f *fastjson.Value, now decide.Time) error {
+	if f.Type() != fastjson.TypeObject {
+		return errors.New("fields are not an object")
+	}
+	if string(key) == "Inventory" {
+		return h.inventory(f)
+	}
+	if !f.Exists("dispatcher") {
+		return errors.New("no dispatcher")
+	}
+	number := f.GetInt("dispatcher")
+	if string(key) == "NewInstance" {
+		return h.newInstance(number, f, now)
+	}
+	in := h.instances[number]
+	if in == nil {
+		return fmt.Errorf("unknown dispatcher %d", number)
+	}
+	if string(key) == "Destroy" {
+		delete(h.instances, number)
+		return nil
+	}
+	if in.closed {
+		return nil
+	}
+	return in.guard(func() error {
+		in.dispatcher.Clock(now)
+		err := h.tellInstance(in, key, f)
+		for _, inv := range in.done {
+			in.release(inv)
+		}
+		in.done = in.done[:0]
+		return err
+	})
+}
+
+func (h *host) newInstance(number int, f *fastjson.Value, now decide.Time) error {
+	in := &instance{number: number, reply: &h.reply,
+		workers: map[string]decide.Worker{}, invs: map[string]decide.Inv{}}
+	h.instances[number] = in
+	return in.guard(func() error {
+		t, err := terms(f.Get("setup"))
+		if err == nil {
+			in.dispatcher, err = decide.New(t, f.GetUint64("nonce64"), in)
+		}
+		if err != nil {
+			return fmt.Errorf("setup: %w", err)
+		}
+		in.dispatcher.Clock(now)
+		return nil
+	})
+}
+
+// guard reports a panic in the decisions as a fault of this instance and its cause.
+func (in *instance) guard(call func() error) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			in.closed = true
+			in.reply.text("Die", in.number, fmt.Sprint(cause))
+		}
+	}()
+	return call()
+}
+
+func (h *host) tellInstance(in *instance, key []byte, f *fastjson.Value) error {
+	d := in.dispatcher
+	switch string(key) {
+	case "Discovery":
+		return h.discovery(in, f)
+	case "Arrival":
+		return in.arrival(f)
+	case "Note", "Verdict":
+		return in.forwardNews(string(key) == "Verdict", f)
+	case "Flowing":
+		inv, n, err := in.forwardOf(f)
+		if err == nil {
+			in.tracks[inv].over = true
+			d.Streams(inv, n)
+		}
+		return err
+	case "TimedOutClient":
+		// One that has ended already in this batch may be named again: that is harmless.
+		if inv, ok := in.invs[string(f.GetStringBytes("rid"))]; ok {
+			in.tracks[inv].over = true
+			d.Left(inv)
+			in.release(inv)
+		}
+	case "Bell":
+		d.Woke(f.GetUint64("keyBack"))
+	case "Sampled":
+		w, ok := in.workers[string(f.GetStringBytes("worker"))]
+		if !ok {
+			return fmt.Errorf("unknown worker %q", f.GetStringBytes("worker"))
+		}
+		d.Probed(w, decide.Outcome(f.GetInt("reason")), numbers(f.Get("telemetry")))
+	case "Heard":
+		octets, err := octets(f.GetStringBytes("octets"))
+		if err != nil {
+			return err
+		}
+		d.Heard(decide.Peer(f.GetInt("sender")), octets)
+	default:
+		return errors.New("unknown message")
+	}
+	return nil
+}
+
+func (in *instance) arrival(f *fastjson.Value) error {
+	name := string(f.GetStringBytes("rid"))
+	if name == "" || in.dispatcher.Operations() <= f.GetInt("band") || f.GetInt("band") < 0 {
+		return fmt.Errorf("no rid, or unknown operation %d", f.GetInt("band"))
+	}
+	if _, known := in.invs[name]; known {
+		return fmt.Errorf("invocation %q is known already", name)
+	}
+	inv := decide.Inv(len(in.tracks))
+	if n := len(in.free); n > 0 {
+		inv, in.free = in.free[n-1], in.free[:n-1]
+	} else {
+		in.tracks = append(in.tracks, track{})
+	}
+	in.tracks[inv] = track{name: name, quoted: quoted(name)}
+	in.invs[name] = inv
+	in.dispatcher.Landed(inv, decide.Landing{
+		Operation: decide.Operation(f.GetInt("band")),
+		Customer:  decide.Customer(f.GetInt("project")),
+		Grace:     span(f.GetFloat64("graceS")),
+		Hint:      decide.Work(span(f.GetFloat64("costGuessS"))),
+		Slots:     f.GetFloat64("coresNeeded"),
+		Repeat:    f.GetBool("repeat"),
+	})
+	in.release(inv)
+	return nil
+}
+
+func (in *instance) forwardOf(f *fastjson.Value) (decide.Inv, int, error) {
+	inv, ok := in.invs[string(f.GetStringBytes("rid"))]
+	if !ok {
+		return 0, 0, fmt.Errorf("unknown invocation %q", f.GetStringBytes("rid"))
+	}
+	n := f.GetInt("hop")
+	if n < 0 || n >= in.tracks[inv].sent {
+		return 0, 0, fmt.Errorf("invocation %q has no forward %d", f.GetStringBytes("rid"), n)
+	}
+	return inv, n, nil
+}
+
+func (in *instance) forwardNews(ended bool, f *fastjson.Value) error {
+	inv, n, err := in.forwardOf(f)
+	if err != nil {
+		return err
+	}
+	switch {
+	case ended:
+		how := f.GetInt("reason")
+		if how < int(decide.Succeeded) || how > int(decide.Moot) {
+			return fmt.Errorf("unknown outcome %d", how)
+		}
+		t := &in.tracks[inv]
+		t.out--
+		t.over = t.over || f.GetBool("closed")
+		in.dispatcher.Ended(inv, n, decide.Outcome(how), f.GetBool("closed"), numbers(f.Get("telemetry")))
+		in.release(inv)
+	case f.GetInt("what") == 1:
+		in.dispatcher.Started(inv, n)
+	case f.GetInt("what") == 2:
+		in.dispatcher.Progressed(inv, n, f.GetFloat64("x"))
+	}
+	return nil
+}
+
+// release frees an invocation's number once it is over and every forward has its outcome.
+func (in *instance) release(inv decide.Inv) {
+	if t := &in.tracks[inv]; t.over && t.out == 0 && t.name != "" {
+		delete(in.invs, t.name)
+		t.name = ""
+		in.free = append(in.free, inv)
+	}
+}
--- /dev/null
+++ b/internal/drill/reply.go
@@ -0,0 +1,164 @@
+package drill
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"math"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"canvasroute/decide"
+)
+
+func clock(s float64) decide.Time { return decide.Time(math.Round(s * decide.Second)) }
+
+// span rounds down, so that nothing is believed to last longer than it does.
+func span(s float64) decide.Time { return decide.Time(math.Floor(s*decide.Second + 1e-6)) }
+
+func numbers(v *fastjson.Value) []float64 {
+	if v == nil {
+		return nil
+	}
+	var row []float64
+	for _, x := range v.GetArray() {
+		row = append(row, x.GetFloat64())
+	}
+	return row
+}
+
+func octets(digits []byte) ([]byte, error) {
+	text := make([]byte, hex.DecodedLen(len(digits)))
+	if _, err := hex.Decode(text, digits); err != nil {
+		return nil, fmt.Errorf("octets: %w", err)
+	}
+	return text, nil
+}
+
+func quoted(s string) string {
+	b, err := json.Marshal(s)
+	if err != nil {
+		panic(err) // a string always has a JSON form
+	}
+	return string(b)
+}
+
+// reply is the line being written.
+type reply struct {
+	buf   []byte
+	count int
+}
+
+func (r *reply) start(frame uint64) {
+	r.buf = append(strconv.AppendUint(append(r.buf[:0], `{"frame":`...), frame, 10), `,"cmds":[`...)
+	r.count = 0
+}
+
+func (r *reply) end() { r.buf = append(r.buf, "]}\n"...) }
+
+func (r *reply) open(name string, dispatcher int) {
+	if r.count > 0 {
+		r.buf = append(r.buf, ',')
+	}
+	r.count++
+	r.buf = append(append(append(r.buf, `{"`...), name...), `":{"dispatcher":`...)
+	r.buf = strconv.AppendInt(r.buf, int64(dispatcher), 10)
+}
+
+func (r *reply) raw(key, value string) {
+	r.buf = append(append(append(append(r.buf, `,"`...), key...), `":`...), value...)
+}
+
+func (r *reply) number(key string, n int64) {
+	r.raw(key, "")
+	r.buf = strconv.AppendInt(r.buf, n, 10)
+}
+
+func (r *reply) seconds(key string, t decide.Time) {
+	r.raw(key, "")
+	r.buf = strconv.AppendFloat(r.buf, float64(t)/decide.Second, 'f', -1, 64)
+}
+
+func (r *reply) close() { r.buf = append(r.buf, "}}"...) }
+
+func (r *reply) text(name string, dispatcher int, text string) {
+	r.open(name, dispatcher)
+	r.raw("text", quoted(text))
+	r.close()
+}
+
+// The answers of a dispatcher, as decide.Link.
+
+func (in *instance) Forward(inv decide.Inv, tgt decide.Worker, within decide.Time) {
+	t := &in.tracks[inv]
+	t.sent++
+	t.out++
+	in.reply.open("Issue", in.number)
+	in.reply.raw("rid", t.quoted)
+	in.reply.raw("worker", in.names[tgt])
+	if within > 0 {
+		in.reply.seconds("withinS", within)
+	}
+	in.reply.close()
+}
+
+func (in *instance) Cancel(inv decide.Inv, forward int) {
+	in.reply.open("AbortAttempt", in.number)
+	in.reply.raw("rid", in.tracks[inv].quoted)
+	in.reply.number("hop", int64(forward))
+	in.reply.close()
+}
+
+func (in *instance) Throttle(inv decide.Inv, comeBack decide.Time) {
+	in.reply.open("Bounce", in.number)
+	in.reply.raw("rid", in.tracks[inv].quoted)
+	if comeBack > 0 {
+		in.reply.seconds("comeBackS", comeBack)
+	}
+	in.reply.close()
+	in.finish(inv)
+}
+
+func (in *instance) Error(inv decide.Inv) {
+	in.reply.open("DropRequest", in.number)
+	in.reply.raw("rid", in.tracks[inv].quoted)
+	in.reply.close()
+	in.finish(inv)
+}
+
+// finish marks an invocation over. Its number is not freed while the dispatcher may still be at work on it.
+func (in *instance) finish(inv decide.Inv) {
+	in.tracks[inv].over = true
+	if in.tracks[inv].out == 0 {
+		in.done = append(in.done, inv)
+	}
+}
+
+func (in *instance) Wake(key uint64, after decide.Time) {
+	in.reply.open("WakeMe", in.number)
+	in.reply.number("keyBack", int64(key))
+	in.reply.seconds("offsetS", after)
+	in.reply.close()
+}
+
+func (in *instance) Subscribe() {
+	in.reply.open("Subscribe", in.number)
+	in.reply.raw("want", "true")
+	in.reply.close()
+}
+
+func (in *instance) Probe(tgt decide.Worker) {
+	in.reply.open("HealthCheck", in.number)
+	in.reply.raw("worker", in.names[tgt])
+	in.reply.close()
+}
+
+func (in *instance) Tell(text []byte) {
+	in.reply.open("Signal", in.number)
+	in.reply.number("dst", -1)
+	in.reply.raw("octets", `"`+hex.EncodeToString(text)+`"`)
+	in.reply.close()
+}
+
+func (in *instance) Log(line string) { in.reply.text("Remark", in.number, line) }
--- /dev/null
+++ b/internal/drill/terms.go
@@ -0,0 +1,87 @@
+package drill
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/valyala/fastjson"
+
+	"canvasroute/decide"
+)
+
+var repeats = map[string]decide.Repeat{
+	"idempotent": decide.Idempotent, "deduplicated": decide.Deduplicated, "at_most_once": decide.NonIdempotent,
+}
+
+var scopes = map[string]decide.Scope{
+	"": decide.ScopeAll, "all": decide.ScopeAll, "zone": decide.ScopeZone, "cell": decide.ScopeCell,
+}
+
+// terms reads the settings; keys that it does not know are passed over.
+func terms(v *fastjson.Value) (decide.Terms, error) {
+	if v == nil || v.Type() != fastjson.TypeObject {
+		return decide.Terms{}, errors.New("not an object")
+	}
+	limits, rules, info, report := v.Get("policyLimits"), v.Get("rules"), v.Get("familyInfo"), v.Get("report")
+	limit := func(key string) float64 { return limits.GetFloat64(key) }
+	t := decide.Terms{
+		Dispatchers: v.GetInt("balancers"), Position: v.GetInt("position"), Kinds: len(v.GetArray("shapes")),
+		Zone: decide.Zone(v.GetInt("zone")), Zones: len(v.GetArray("zones")),
+		Granularity: span(v.GetFloat64("granularityS")), AskWithin: span(rules.GetFloat64("askWithinS")),
+		ComeBackMost: span(limit("maxRetryAfterS")), Ramp: span(rules.GetFloat64("rampTimeS")),
+		DrainGrace: span(rules.GetFloat64("drainGraceS")), FallSpan: span(rules.GetFloat64("fallS")),
+		ColdFrom: rules.GetFloat64("coldFrom"), FallMultiple: rules.GetFloat64("overloadFactor"),
+		AskForList: string(v.GetStringBytes("registryMode")) == "subscribe",
+		MayCancel:  limits.GetBool("mayCancel"), Copies: limits.GetBool("secondCopies"),
+		Probes: limits.GetBool("probes"), Peers: limits.GetBool("peers"), ComeBack: limits.GetBool("retryAfter"),
+		StartNotes: info.GetBool("tellsStart"), Progress: span(info.GetFloat64("progressS")),
+		ForwardsMost: limits.GetInt("maxForwards"), OpenMost: limits.GetInt("maxOpen"),
+		SurplusShare: v.GetFloat64("surplusBilledValue"), CrossCost: v.GetFloat64("prices", "crossZone"),
+		ProbeCost: v.GetFloat64("prices", "probe"), PeerCost: v.GetFloat64("prices", "peer"),
+		WasteCost:      v.GetFloat64("prices", "waste"),
+		ReportInFlight: -1, ReportQueue: -1, ReportFree: -1,
+		ReportsOnProbe: string(report.GetStringBytes("how")) == "on_probe",
+	}
+	for n, name := range report.GetArray("names") {
+		switch string(name.GetStringBytes()) {
+		case "rif":
+			t.ReportInFlight = n
+		case "q":
+			t.ReportQueue = n
+		case "x0":
+			if string(info.GetStringBytes("reportX0")) == "free slots" {
+				t.ReportFree = n
+			}
+		}
+	}
+	for n, o := range v.GetArray("operations") {
+		repeat, known := repeats[string(o.GetStringBytes("repeat"))]
+		scope, named := scopes[string(o.GetStringBytes("dedupScope"))]
+		if !known || !named {
+			return t, fmt.Errorf("operations[%d]: unknown repeat %q or dedupScope %q", n,
+				o.GetStringBytes("repeat"), o.GetStringBytes("dedupScope"))
+		}
+		op := decide.OperationTerms{
+			Objective:     span(o.GetFloat64("latencyObjectiveS")),
+			ClientTimeout: span(o.GetFloat64("clientTimeoutS")),
+			Window:        span(o.GetFloat64("dedupWindowS")),
+			Value:         o.GetFloat64("billedValue"), TardyShare: o.GetFloat64("tardyBilledValue"),
+			Stretch: o.GetFloat64("aimStretch"), Repeat: repeat, Scope: scope, Kind: -1,
+			Streamed: o.GetBool("stream"),
+		}
+		if s := info.GetArray("classStretch"); n < len(s) {
+			op.Stretch = s[n].GetFloat64()
+		}
+		if k := info.GetArray("classKind"); n < len(k) {
+			op.Kind = decide.Kind(k[n].GetInt())
+		}
+		if p := info.GetArray("classPriority"); n < len(p) {
+			op.Priority = p[n].GetInt()
+		}
+		t.Operations = append(t.Operations, op)
+	}
+	for _, c := range v.GetArray("orgs") {
+		t.Customers = append(t.Customers, decide.CustomerTerms{Quota: c.GetFloat64("quotaPerS")})
+	}
+	return t, nil
+}
