--- a/decide/decide.go
+++ b/decide/decide.go
@@ -85,7 +85,7 @@
 	i.lane = d.laneOf(i.size)
 	i.due = d.now - elapsed + o.objective + Time(o.stretch*float64(l.Hint))
 	d.open, d.held = append(d.open, inv), append(d.held, inv)
-	d.room, d.sweepAt = true, min(d.sweepAt, d.now+d.patience)
+	d.room, d.sweepAt = true, min(d.sweepAt, d.now+d.patience, i.timeout)
 	d.settle()
 }
 
@@ -670,7 +670,6 @@
 	}
 	free, k := r[d.atFree], d.kind[w]
 	if d.atInFlight >= 0 && d.atQueue >= 0 {
-		d.others[w] = int(math.Round(r[d.atInFlight])) - d.own[w]
 		free += r[d.atInFlight] - r[d.atQueue]
 	}
 	if free > d.most[k] && d.warmth(w) == 1 {
