Order held work by slack over billed value per work; throttle the late while others wait

Cause: under overload the held queue ran down to work already late. Also: peers hear of all workers every second and silent ones are forgotten.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -22,6 +22,7 @@
 	coldMargin  = 0.5 // of a cold worker's budget is kept back, as hints are rough
 	slowPace    = 1.8 // of the fleet's pace: a worker slower than this is suspect
 	learn       = 0.2 // weight of a new sample in a running figure
+	slackKept   = 0.5 // of the slack that grows with the size, as hints are rough
 	slotsFirst  = 8.0 // slots believed before anything was refused or kept waiting
 )
 
@@ -36,12 +37,12 @@
 		return nil, errors.New("times: none may be negative")
 	}
 	d := &Dispatcher{link: link, seed: seed, zone: t.Zone, share: 1 / float64(t.Dispatchers),
-		coldFrom: t.ColdFrom, multiple: t.FallMultiple, crossing: t.CrossCost, margin: 2*max(t.Granularity, 1) + 10,
+		coldFrom: t.ColdFrom, multiple: t.FallMultiple, crossing: t.CrossCost, surplusShare: t.SurplusShare, margin: 2*max(t.Granularity, 1) + 10,
 		askWithin: t.AskWithin, comeBack: t.ComeBackMost, ramp: t.Ramp, span: t.FallSpan,
 		forwardsMost: t.ForwardsMost, askForList: t.AskForList, cancels: t.MayCancel, copies: t.Copies,
 		probes: t.Probes && t.ReportsOnProbe, peers: t.Peers && t.Dispatchers > 1, startNotes: t.StartNotes,
 		onProbe: t.ReportsOnProbe, atInFlight: t.ReportInFlight, atQueue: t.ReportQueue, atFree: t.ReportFree,
-		fleetPace: 1, peerLoad: map[Peer]map[uint16]int{}, patience: math.MaxInt64}
+		fleetPace: 1, patience: math.MaxInt64}
 	for n, o := range t.Operations {
 		if o.Objective < 0 || o.ClientTimeout < 0 || o.Window < 0 {
 			return nil, fmt.Errorf("operations[%d]: a negative time", n)
@@ -83,7 +84,11 @@
 		i.size = d.medianSize()
 	}
 	i.lane = d.laneOf(i.size)
-	i.due = d.now - elapsed + o.objective + Time(o.stretch*float64(l.Hint))
+	run := float64(i.size) / max(l.Slots, 1)
+	i.due = d.now - elapsed + o.objective + Time(o.stretch*run)
+	i.latest = i.due - Time(run*(1+(o.stretch-1)*slackKept))
+	o.mean += max(learn/4, 1/float64(1+o.landed)) * (float64(i.size) - o.mean)
+	o.landed++
 	d.open, d.held = append(d.open, inv), append(d.held, inv)
 	d.room, d.sweepAt = true, min(d.sweepAt, d.now+d.patience, i.timeout)
 	d.settle()
@@ -209,8 +214,8 @@
 		d.hash[w], d.workerZone[w], d.kind[w], d.cell[w], d.state[w] = h.Sum64(), e.Zone, e.Kind, e.Cell, e.State
 	}
 	d.ring = d.ring[:0]
-	for w, s := range d.state {
-		if s != Gone {
+	for w, state := range d.state {
+		if state != Gone {
 			d.ring = append(d.ring, Worker(w))
 		}
 	}
@@ -228,25 +233,35 @@
 
 // Heard takes a peer's in-flight counts: three bytes a worker, two of its hash and one of the count.
 func (d *Dispatcher) Heard(from Peer, text []byte) {
-	load := d.peerLoad[from]
-	if load == nil {
-		load = map[uint16]int{}
-		d.peerLoad[from] = load
+	for int(from) >= len(d.peerLoad) {
+		d.peerLoad, d.peerAt = append(d.peerLoad, nil), append(d.peerAt, 0)
 	}
+	load := append(d.peerLoad[from], make([]int, max(0, len(d.hash)-len(d.peerLoad[from])))...)
 	for ; len(text) >= 3; text = text[3:] {
-		tag := binary.BigEndian.Uint16(text)
-		for _, w := range d.ring {
-			if uint16(d.hash[w]) == tag {
-				d.others[w] += int(text[2]) - load[tag]
-				d.heardAt[w] = d.now
-				d.room = d.room || int(text[2]) < load[tag]
-			}
+		if w := slices.IndexFunc(d.hash, func(h uint64) bool {
+			return uint16(h) == binary.BigEndian.Uint16(text)
+		}); w >= 0 {
+			d.others[w] += int(text[2]) - load[w]
+			d.room = d.room || int(text[2]) < load[w]
+			load[w] = int(text[2])
 		}
-		load[tag] = int(text[2])
 	}
+	d.peerLoad[from], d.peerAt[from] = load, d.now
 	d.settle()
 }
 
+// forgetSilent drops the counts of peers that have died or are cut off: they would keep workers closed.
+func (d *Dispatcher) forgetSilent() {
+	for p, load := range d.peerLoad {
+		if d.now-d.peerAt[p] > 3*Second {
+			for w, n := range load {
+				d.others[w] -= n
+				load[w] = 0
+			}
+		}
+	}
+}
+
 // The rules, in order. After every input they are gone through from the top until none fires.
 var rules = []struct {
 	when func(*Dispatcher) bool
@@ -276,6 +291,14 @@
 		func(d *Dispatcher) bool { return d.peers && len(d.changed) > 0 && d.now >= d.tellAt },
 		(*Dispatcher).tell,
 	},
+	{ // messages get lost: now and then peers are told of all workers, and the silent are forgotten
+		func(d *Dispatcher) bool { return d.peers && d.now >= d.refreshAt },
+		func(d *Dispatcher) {
+			d.refreshAt = d.now + Second
+			d.changed = append(d.changed[:0], d.ring...)
+			d.forgetSilent()
+		},
+	},
 	{ // something is still to be done later
 		func(d *Dispatcher) bool { at := d.nextAt(); return at > 0 && (d.wakeAt == 0 || at < d.wakeAt) },
 		func(d *Dispatcher) {
@@ -302,6 +325,9 @@
 	if d.askForList && !d.subscribed && !d.asking && (at == 0 || d.askAt < at) {
 		at = d.askAt
 	}
+	if d.peers && len(d.open) > 0 {
+		at = min(at, d.refreshAt)
+	}
 	if len(d.changed) > 0 && (at == 0 || d.tellAt < at) {
 		at = d.tellAt
 	}
@@ -399,9 +425,13 @@
 // usable tells whether a worker may take this invocation now.
 func (d *Dispatcher) usable(w Worker, i *invocation) bool {
 	kind := d.ops[i.op].kind
-	return d.state[w] == Healthy && (kind < 0 || kind == d.kind[w]) && d.now >= d.downUntil[w] && d.now >= d.trialAt[w] &&
-		(d.fails[w] == 0 || d.own[w] == 0) && d.waiting[w] == 0 && float64(d.load(w)) < d.slotsOf(w) &&
-		(d.own[w] == 0 || !d.suspect(w)) && d.withinCold(w, i.size)
+	return d.idle(w) && (kind < 0 || kind == d.kind[w]) && (d.own[w] == 0 || !d.suspect(w)) && d.withinCold(w, i.size)
+}
+
+// idle tells whether a worker is believed up and has a slot to spare.
+func (d *Dispatcher) idle(w Worker) bool {
+	return d.state[w] == Healthy && d.now >= d.downUntil[w] && d.now >= d.trialAt[w] && d.waiting[w] == 0 &&
+		(d.fails[w] == 0 || d.own[w] == 0) && float64(d.load(w)) < d.slotsOf(w)
 }
 
 func (d *Dispatcher) load(w Worker) int { return d.own[w] + max(d.others[w], 0) }
@@ -436,16 +466,7 @@
 
 // suspect tells of a worker far slower than the fleet. Where most seem so, the fleet has changed, not they.
 func (d *Dispatcher) suspect(w Worker) bool {
-	if d.pace[w] < slowPace*d.fleetPace {
-		return false
-	}
-	n := 0
-	for _, v := range d.ring {
-		if d.pace[v] >= slowPace*d.fleetPace {
-			n++
-		}
-	}
-	return n*2 <= len(d.ring)
+	return d.pace[w] >= slowPace*d.fleetPace && d.slow*2 <= len(d.ring)
 }
 
 // mayForward is the rule against double effects, for one more forward to w.
@@ -497,42 +518,42 @@
 // placeHeld sends what is held, the most urgent first, for as long as there is room.
 func (d *Dispatcher) placeHeld() {
 	d.room = false
-	if len(d.held) > 1 {
-		slices.SortStableFunc(d.held, func(a, b Inv) int { return d.before(&d.invs[a], &d.invs[b]) })
-	}
-	kept := d.held[:0]
-	for _, inv := range d.held {
-		i := &d.invs[inv]
-		if i.over {
-			continue
+	for passed := 0; passed < len(d.held) && passed <= len(d.ring) && slices.ContainsFunc(d.ring, d.idle); {
+		best := passed
+		for n := passed; n < len(d.held); n++ {
+			if d.rank(d.held[n]) < d.rank(d.held[best]) {
+				best = n
+			}
 		}
-		if w, ok := d.choose(i); ok {
+		inv := d.held[best]
+		d.held[best] = d.held[passed]
+		if w, ok := d.choose(&d.invs[inv]); ok {
+			d.held[passed] = d.held[len(d.held)-1]
+			d.held = d.held[:len(d.held)-1]
 			d.forward(inv, w)
 		} else {
-			kept = append(kept, inv)
+			d.held[passed] = inv
+			passed++
 		}
 	}
-	d.held = kept
 }
 
-// before orders held invocations: in time and in share first, then by the latest start that is in time.
-func (d *Dispatcher) before(a, b *invocation) int {
-	return cmp.Or(cmp.Compare(d.tier(a), d.tier(b)), cmp.Compare(a.due-Time(a.size), b.due-Time(b.size)))
-}
-
-func (d *Dispatcher) tier(i *invocation) int {
-	t := 0
+// rank orders held invocations: first those in time and in share, then by slack over billed value per work.
+func (d *Dispatcher) rank(inv Inv) float64 {
+	i := &d.invs[inv]
+	o := &d.ops[i.op]
+	value := o.value * Second / max(o.mean, 1)
 	if i.surplus {
-		t = 1
+		value *= d.surplusShare
 	}
 	if d.late(i) {
-		t += 2
+		return math.MaxInt32 + float64(i.due)/max(value*o.tardy, 1e-3)
 	}
-	return t
+	return float64(i.latest-d.now+o.objective) / max(value, 1e-3)
 }
 
-// late tells that a forward made now would miss the latency objective.
-func (d *Dispatcher) late(i *invocation) bool { return d.now+Time(i.size) > i.due }
+// late tells that a forward made now would probably miss the latency objective.
+func (d *Dispatcher) late(i *invocation) bool { return d.now > i.latest }
 
 func (d *Dispatcher) forward(inv Inv, w Worker) {
 	i := &d.invs[inv]
@@ -553,6 +574,7 @@
 // sweep looks over all that is open and finds when to look again.
 func (d *Dispatcher) sweep() {
 	d.sweepAt = d.now + d.patience
+	d.waitingInTime = slices.ContainsFunc(d.held, func(inv Inv) bool { return !d.late(&d.invs[inv]) })
 	for n := len(d.open) - 1; n >= 0; n-- {
 		inv := d.open[n]
 		i := &d.invs[inv]
@@ -572,12 +594,9 @@
 	d.room = true
 }
 
-// hopeless tells of a held invocation whose wait will not be paid for.
+// hopeless tells of an invocation with nothing out that is late while others in time are waiting.
 func (d *Dispatcher) hopeless(i *invocation) bool {
-	if !d.late(i) {
-		return false
-	}
-	return d.ops[i.op].tardy == 0 || d.now > (i.due+i.timeout)/2
+	return d.late(i) && (d.ops[i.op].tardy == 0 || d.waitingInTime)
 }
 
 // rescue sends a second copy where a forward sits unstarted or crawls, and calls off one that has not started.
@@ -608,7 +627,7 @@
 func (d *Dispatcher) giveUp(inv Inv) {
 	i := &d.invs[inv]
 	if d.mayThrottle(i) {
-		d.link.Throttle(inv, 0)
+		d.link.Throttle(inv, d.comeBack)
 	} else {
 		d.link.Error(inv)
 	}
@@ -627,6 +646,9 @@
 		}
 	}
 	i.over = true
+	if n := slices.Index(d.held, inv); n >= 0 {
+		d.held = slices.Delete(d.held, n, n+1)
+	}
 	last := d.open[len(d.open)-1]
 	d.open[i.place], d.invs[last].place = last, i.place
 	d.open = d.open[:len(d.open)-1]
@@ -662,19 +684,25 @@
 	p := min(max(run/float64(size), d.fleetPace/4), d.fleetPace*4)
 	d.pace[w] += weight * (p - d.pace[w])
 	d.fleetPace += weight / float64(len(d.ring)+1) * (p - d.fleetPace)
+	d.slow = 0
+	for _, v := range d.ring {
+		if d.pace[v] >= slowPace*d.fleetPace {
+			d.slow++
+		}
+	}
 }
 
+// report takes the slots that a load report shows. Reports are late, so they say nothing of the load now.
 func (d *Dispatcher) report(w Worker, r []float64) {
-	if len(r) == 0 || d.atFree < 0 || d.atFree >= len(r) {
+	if d.atFree < 0 || d.atFree >= len(r) || d.warmth(w) < 1 {
 		return
 	}
-	free, k := r[d.atFree], d.kind[w]
+	slots, k := r[d.atFree], d.kind[w]
 	if d.atInFlight >= 0 && d.atQueue >= 0 {
-		free += r[d.atInFlight] - r[d.atQueue]
+		slots += r[d.atInFlight] - r[d.atQueue]
 	}
-	if free > d.most[k] && d.warmth(w) == 1 {
-		d.most[k] = math.Round(free)
-		d.slots[k] = d.most[k]
+	if slots = math.Round(slots); slots > d.most[k] {
+		d.most[k], d.slots[k] = slots, slots
 	}
 }
 
@@ -691,10 +719,10 @@
 func (d *Dispatcher) addWorker() {
 	d.hash, d.workerZone, d.kind = append(d.hash, 0), append(d.workerZone, 0), append(d.kind, 0)
 	d.cell, d.state, d.born = append(d.cell, 0), append(d.state, Gone), append(d.born, 0)
-	d.downUntil, d.trialAt, d.heardAt = append(d.downUntil, 0), append(d.trialAt, 0), append(d.heardAt, 0)
+	d.downUntil, d.trialAt = append(d.downUntil, 0), append(d.trialAt, 0)
 	d.own, d.waiting, d.others = append(d.own, 0), append(d.waiting, 0), append(d.others, 0)
 	d.fails, d.pace, d.spent = append(d.fails, 0), append(d.pace, 1), append(d.spent, nil)
-	d.told = append(d.told, 0)
+
 }
 
 // note remembers that peers are to be told of a worker.
--- a/decide/state.go
+++ b/decide/state.go
@@ -1,12 +1,12 @@
 package decide
 
 type operation struct {
-	objective, window, longest Time // longest: the longest grace seen, a first try's
-	stretch, density, tardy    float64
-	value                      float64
-	repeat                     Repeat
-	scope                      Scope
-	kind                       Kind
+	objective, window, longest  Time    // longest: the longest grace seen, a first try's
+	stretch, value, tardy, mean float64 // mean: of the sizes landed
+	landed                      int
+	repeat                      Repeat
+	scope                       Scope
+	kind                        Kind
 }
 
 type forward struct {
@@ -16,15 +16,15 @@
 }
 
 type invocation struct {
-	op           Operation
-	over         bool
-	surplus      bool // beyond its customer's share
-	landed       Time
-	due, timeout Time // the latency objective and the latest final answer
-	size         Work
-	lane         int
-	forwards     []forward
-	out, place   int
+	op                   Operation
+	over                 bool
+	surplus              bool // beyond its customer's share
+	landed               Time
+	due, latest, timeout Time // the latency objective, the latest start that keeps it, the latest final answer
+	size                 Work
+	lane                 int
+	forwards             []forward
+	out, place           int
 }
 
 type spend struct {
@@ -41,7 +41,7 @@
 	quota, used                                                                     []float64 // a customer's share of this dispatcher's landings a second, and its use of it
 	usedAt                                                                          []Time
 	zone                                                                            Zone
-	share, coldFrom, multiple, crossing                                             float64
+	surplusShare, share, coldFrom, multiple, crossing                               float64
 	margin, askWithin, comeBack, ramp, span, patience                               Time
 	forwardsMost                                                                    int
 	askForList, cancels, copies, probes, peers, startNotes, onProbe, inFlightReport bool
@@ -51,19 +51,21 @@
 	open, held []Inv
 
 	// figures about workers, by Worker
-	hash                              []uint64
-	workerZone                        []Zone
-	kind                              []Kind
-	cell                              []Cell
-	state                             []State
-	born, downUntil, trialAt, heardAt []Time
-	own, waiting, others, fails       []int
-	pace                              []float64
-	spent                             [][]spend
-	told                              []int
-	ring                              []Worker
-	slots, most                       []float64 // by Kind: slots believed, and the most seen at work
-	peerLoad                          map[Peer]map[uint16]int
+	hash                        []uint64
+	workerZone                  []Zone
+	kind                        []Kind
+	cell                        []Cell
+	state                       []State
+	born, downUntil, trialAt    []Time
+	own, waiting, others, fails []int
+	pace                        []float64
+	spent                       [][]spend
+	ring                        []Worker
+	slots, most                 []float64 // by Kind: slots believed, and the most seen at work
+	peerLoad                    [][]int   // by Peer and Worker
+	peerAt                      []Time
+	slow                        int // workers slower than the fleet
+	waitingInTime               bool
 
 	sample    []Work
 	sampled   int
