--- a/decide/decide.go
+++ b/decide/decide.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -13,6 +12,8 @@
 	"slices"
 )
 
+const never = Time(math.MaxInt64)
+
 // Ratios of the design. Those of time are to the figure named beside them.
 const (
 	lanes       = 2   // intervals of equal work, each with its own block
@@ -33,21 +34,21 @@
 		return nil, errors.New("operations: there must be at least one")
 	case t.Dispatchers < 1:
 		return nil, fmt.Errorf("dispatchers: %d, must be at least 1", t.Dispatchers)
-	case t.Granularity < 0 || t.Ramp < 0 || t.FallSpan < 0 || t.AskWithin < 0 || t.ComeBackMost < 0 || t.DrainGrace < 0:
+	case min(t.Granularity, t.Ramp, t.FallSpan, t.AskWithin, t.ComeBackMost, t.DrainGrace) < 0:
 		return nil, errors.New("times: none may be negative")
 	}
 	d := &Dispatcher{link: link, seed: seed, zone: t.Zone, share: 1 / float64(t.Dispatchers),
-		coldFrom: t.ColdFrom, multiple: t.FallMultiple, crossing: t.CrossCost, surplusShare: t.SurplusShare, margin: 2*max(t.Granularity, 1) + 10,
-		askWithin: t.AskWithin, comeBack: t.ComeBackMost, ramp: t.Ramp, span: t.FallSpan,
-		forwardsMost: t.ForwardsMost, askForList: t.AskForList, cancels: t.MayCancel, copies: t.Copies,
-		probes: t.Probes && t.ReportsOnProbe, peers: t.Peers && t.Dispatchers > 1, startNotes: t.StartNotes,
-		onProbe: t.ReportsOnProbe, atInFlight: t.ReportInFlight, atQueue: t.ReportQueue, atFree: t.ReportFree,
-		fleetPace: 1, patience: math.MaxInt64}
+		coldFrom: t.ColdFrom, multiple: t.FallMultiple, ramp: t.Ramp, span: t.FallSpan,
+		crossing: t.CrossCost, surplusShare: t.SurplusShare, margin: 2*t.Granularity + Second/1000,
+		askWithin: t.AskWithin, comeBack: t.ComeBackMost, forwardsMost: t.ForwardsMost, askForList: t.AskForList,
+		cancels: t.MayCancel, copies: t.Copies, probes: t.Probes && t.ReportsOnProbe,
+		peers: t.Peers && t.Dispatchers > 1, startNotes: t.StartNotes, fleetPace: 1, patience: never,
+		atInFlight: t.ReportInFlight, atQueue: t.ReportQueue, atFree: t.ReportFree, wakeAt: never}
 	for n, o := range t.Operations {
 		if o.Objective < 0 || o.ClientTimeout < 0 || o.Window < 0 {
 			return nil, fmt.Errorf("operations[%d]: a negative time", n)
 		}
-		d.ops = append(d.ops, operation{objective: o.Objective, window: o.Window, longest: 0, stretch: o.Stretch,
+		d.ops = append(d.ops, operation{objective: o.Objective, window: o.Window, stretch: o.Stretch,
 			tardy: o.TardyShare, value: o.Value, repeat: o.Repeat, scope: o.Scope, kind: o.Kind})
 		d.patience = min(d.patience, o.Objective/10)
 	}
@@ -76,14 +77,14 @@
 	o, i := &d.ops[l.Operation], &d.invs[inv]
 	o.longest = max(o.longest, l.Grace)
 	elapsed := o.longest - l.Grace // what the client has spent on earlier tries
-	*i = invocation{op: l.Operation, landed: d.now, timeout: d.now + l.Grace - d.margin, forwards: i.forwards[:0],
+	*i = invocation{op: l.Operation, timeout: d.now + l.Grace - d.margin, forwards: i.forwards[:0],
 		size: Work(float64(l.Hint) * max(l.Slots, 1)), surplus: d.spendShare(l.Customer), place: len(d.open)}
 	if i.size > 0 {
 		d.takeHint(i.size)
 	} else {
-		i.size = d.medianSize()
+		i.size = d.median
 	}
-	i.lane = d.laneOf(i.size)
+	i.lane, _ = slices.BinarySearch(d.cuts, i.size+1)
 	run := float64(i.size) / max(l.Slots, 1)
 	i.due = d.now - elapsed + o.objective + Time(o.stretch*run)
 	i.latest = i.due - Time(run*(1+(o.stretch-1)*slackKept))
@@ -176,15 +177,14 @@
 
 func (d *Dispatcher) Woke(key uint64) {
 	if Time(key) == d.wakeAt {
-		d.wakeAt = 0
+		d.wakeAt = never
 	}
 	d.settle()
 }
 
 func (d *Dispatcher) ListFailed() {
 	// The list service is overloaded or away: ask again later and later, so as not to flood it.
-	d.asks++
-	d.subscribed, d.asking = false, false
+	d.asks, d.subscribed = d.asks+1, false
 	wait := min(d.askWithin/2, Second/2<<min(d.asks, 4))
 	d.askAt = d.now + wait/2 + Time(d.chance()%uint64(wait/2+1))
 	d.settle()
@@ -192,8 +192,8 @@
 
 // Listed takes a list or a change to it; answer tells whether it may be the answer to a subscription.
 func (d *Dispatcher) Listed(entries []Entry, whole, answer bool) {
-	if answer && d.asking {
-		d.subscribed, d.asking, d.asks = true, false, 0
+	if answer {
+		d.subscribed, d.asks = true, 0
 	}
 	if whole {
 		for w := range d.state {
@@ -231,20 +231,16 @@
 	d.settle()
 }
 
-// Heard takes a peer's in-flight counts: three bytes a worker, two of its hash and one of the count.
-func (d *Dispatcher) Heard(from Peer, text []byte) {
+// Heard takes a peer's counts of what it has in flight.
+func (d *Dispatcher) Heard(from Peer, loads []Load) {
 	for int(from) >= len(d.peerLoad) {
 		d.peerLoad, d.peerAt = append(d.peerLoad, nil), append(d.peerAt, 0)
 	}
 	load := append(d.peerLoad[from], make([]int, max(0, len(d.hash)-len(d.peerLoad[from])))...)
-	for ; len(text) >= 3; text = text[3:] {
-		if w := slices.IndexFunc(d.hash, func(h uint64) bool {
-			return uint16(h) == binary.BigEndian.Uint16(text)
-		}); w >= 0 {
-			d.others[w] += int(text[2]) - load[w]
-			d.room = d.room || int(text[2]) < load[w]
-			load[w] = int(text[2])
-		}
+	for _, l := range loads {
+		d.room = d.room || l.InFlight < load[l.Tgt]
+		d.others[l.Tgt] += l.InFlight - load[l.Tgt]
+		load[l.Tgt] = l.InFlight
 	}
 	d.peerLoad[from], d.peerAt[from] = load, d.now
 	d.settle()
@@ -262,123 +258,97 @@
 	}
 }
 
-// The rules, in order. After every input they are gone through from the top until none fires.
+// The rules, in order: when each is due, and what it does. After every input they are gone through from the
+// top until none is due; then a wake is asked for, for the one that will be due first.
 var rules = []struct {
-	when func(*Dispatcher) bool
-	do   func(*Dispatcher)
+	due func(*Dispatcher) Time
+	do  func(*Dispatcher)
 }{
-	{ // the list must be asked for
-		func(d *Dispatcher) bool { return d.askForList && !d.subscribed && !d.asking && d.now >= d.askAt },
-		func(d *Dispatcher) { d.asking = true; d.link.Subscribe() },
-	},
-	{ // some open invocation may be due for an answer or another forward
-		func(d *Dispatcher) bool { return len(d.open) > 0 && d.now >= d.sweepAt },
-		(*Dispatcher).sweep,
-	},
-	{ // held invocations go where there is room
-		func(d *Dispatcher) bool { return d.room && len(d.held) > 0 },
-		(*Dispatcher).placeHeld,
-	},
-	{ // load reports come with probes alone
-		func(d *Dispatcher) bool { return d.probes && len(d.ring) > 0 && len(d.open) > 0 && d.now >= d.probeAt },
-		func(d *Dispatcher) {
-			d.probeNext++
-			d.probeAt = d.now + Second/2/Time(len(d.ring))
-			d.link.Probe(d.ring[d.probeNext%len(d.ring)])
-		},
-	},
-	{ // peers learn of changes in what is in flight here
-		func(d *Dispatcher) bool { return d.peers && len(d.changed) > 0 && d.now >= d.tellAt },
-		(*Dispatcher).tell,
-	},
-	{ // messages get lost: now and then peers are told of all workers, and the silent are forgotten
-		func(d *Dispatcher) bool { return d.peers && d.now >= d.refreshAt },
-		func(d *Dispatcher) {
-			d.refreshAt = d.now + Second
-			d.changed = append(d.changed[:0], d.ring...)
-			d.forgetSilent()
-		},
-	},
-	{ // something is still to be done later
-		func(d *Dispatcher) bool { at := d.nextAt(); return at > 0 && (d.wakeAt == 0 || at < d.wakeAt) },
-		func(d *Dispatcher) {
-			d.wakeAt = max(d.nextAt(), d.now+1)
-			d.link.Wake(uint64(d.wakeAt), d.wakeAt-d.now)
-		},
-	},
+	// The list must be asked for, and asked for again where no answer comes.
+	{func(d *Dispatcher) Time { return when(d.askForList && !d.subscribed, d.askAt) }, (*Dispatcher).subscribe},
+	// Some open invocation may need its answer, or another forward.
+	{func(d *Dispatcher) Time { return when(len(d.open) > 0, d.sweepAt) }, (*Dispatcher).sweep},
+	// Held invocations go where there is room.
+	{func(d *Dispatcher) Time { return when(d.room && len(d.held) > 0, d.now) }, (*Dispatcher).placeHeld},
+	// Load reports come with probes alone.
+	{func(d *Dispatcher) Time { return when(d.probes && len(d.open) > 0, d.probeAt) }, (*Dispatcher).probe},
+	// Messages get lost: now and then peers are told of all workers, and the silent are forgotten.
+	{func(d *Dispatcher) Time { return when(d.peers && len(d.open) > 0, d.refreshAt) }, (*Dispatcher).refresh},
+	// Peers learn of changes in what is in flight here.
+	{func(d *Dispatcher) Time { return when(len(d.changed) > 0, d.tellAt) }, (*Dispatcher).tell},
+}
+
+func when(condition bool, at Time) Time {
+	if condition {
+		return at
+	}
+	return never
 }
 
 func (d *Dispatcher) settle() {
+	next := never
 	for n := 0; n < len(rules); n++ {
-		if rules[n].when(d) {
+		at := rules[n].due(d)
+		next = min(next, at)
+		if at <= d.now {
 			rules[n].do(d)
-			n = -1
+			n, next = -1, never
 		}
 	}
+	if next < d.wakeAt {
+		d.wakeAt = next
+		d.link.Wake(uint64(next), next-d.now)
+	}
 }
 
-func (d *Dispatcher) nextAt() Time {
-	at := Time(0)
-	if len(d.open) > 0 {
-		at = d.sweepAt
-	}
-	if d.askForList && !d.subscribed && !d.asking && (at == 0 || d.askAt < at) {
-		at = d.askAt
-	}
-	if d.peers && len(d.open) > 0 {
-		at = min(at, d.refreshAt)
-	}
-	if len(d.changed) > 0 && (at == 0 || d.tellAt < at) {
-		at = d.tellAt
+func (d *Dispatcher) subscribe() {
+	d.askAt = d.now + d.askWithin
+	d.link.Subscribe()
+}
+
+func (d *Dispatcher) probe() {
+	d.probeAt = d.now + Second/2/Time(max(len(d.ring), 1))
+	if len(d.ring) > 0 {
+		d.probeNext++
+		d.link.Probe(d.ring[d.probeNext%len(d.ring)])
 	}
-	return at
+}
+
+func (d *Dispatcher) refresh() {
+	d.refreshAt = d.now + Second
+	d.changed = append(d.changed[:0], d.ring...)
+	d.forgetSilent()
 }
 
 // Lanes.
 
+// takeHint keeps a bounded sample, the oldest hint dropping out, and from time to time cuts it anew.
 func (d *Dispatcher) takeHint(size Work) {
 	if len(d.sample) < sampleMost {
 		d.sample = append(d.sample, size)
-	} else {
-		d.sample[d.sampled%sampleMost] = size
 	}
+	d.sample[d.sampled%sampleMost] = size
 	d.sampled++
-	if d.sampled >= sampleLeast && (d.sampled == sampleLeast || d.sampled%(sampleMost/8) == 0) {
+	if d.sampled%(sampleMost/8) == 0 || d.sampled == sampleLeast {
 		d.cut()
 	}
 }
 
 // cut sets the cut points so that each interval of sizes holds the same work.
 func (d *Dispatcher) cut() {
-	sorted, total := slices.Sorted(slices.Values(d.sample)), Work(0)
+	sorted, total, sum := slices.Sorted(slices.Values(d.sample)), Work(0), Work(0)
 	for _, s := range sorted {
 		total += s
 	}
-	d.cuts = d.cuts[:0]
-	sum := Work(0)
+	d.median, d.cuts = sorted[len(sorted)/2], d.cuts[:0]
 	for _, s := range sorted {
-		if len(d.cuts) < lanes-1 && sum*lanes >= total*Work(len(d.cuts)+1) {
+		if d.sampled >= sampleLeast && len(d.cuts) < lanes-1 && sum*lanes >= total*Work(len(d.cuts)+1) {
 			d.cuts = append(d.cuts, s)
 		}
 		sum += s
 	}
 }
 
-func (d *Dispatcher) medianSize() Work {
-	if len(d.sample) == 0 {
-		return 0
-	}
-	return slices.Sorted(slices.Values(d.sample))[len(d.sample)/2]
-}
-
-func (d *Dispatcher) laneOf(size Work) int {
-	lane := 0
-	for lane < len(d.cuts) && size >= d.cuts[lane] {
-		lane++
-	}
-	return lane
-}
-
 // block is a lane's part of the ring, the same at every dispatcher.
 func (d *Dispatcher) block(lane int) (lo, hi int) {
 	if len(d.cuts) == 0 || len(d.ring) < lanes {
@@ -507,12 +477,7 @@
 
 // mayGoOn tells whether any worker listed could still be sent this invocation.
 func (d *Dispatcher) mayGoOn(i *invocation) bool {
-	for _, w := range d.ring {
-		if d.state[w] == Healthy && d.mayForward(i, w) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(d.ring, func(w Worker) bool { return d.state[w] == Healthy && d.mayForward(i, w) })
 }
 
 // placeHeld sends what is held, the most urgent first, for as long as there is room.
@@ -563,10 +528,8 @@
 	if d.startNotes {
 		d.waiting[w]++
 	}
-	if d.warmth(w) < 1 {
-		d.spent[w] = append(slices.DeleteFunc(d.spent[w], func(s spend) bool { return s.at <= d.now-d.span }),
-			spend{d.now, i.size})
-	}
+	past := func(s spend) bool { return s.at <= d.now-d.span }
+	d.spent[w] = append(slices.DeleteFunc(d.spent[w], past), spend{d.now, i.size})
 	d.note(w)
 	d.link.Forward(inv, w, 0)
 }
@@ -722,7 +685,6 @@
 	d.downUntil, d.trialAt = append(d.downUntil, 0), append(d.trialAt, 0)
 	d.own, d.waiting, d.others = append(d.own, 0), append(d.waiting, 0), append(d.others, 0)
 	d.fails, d.pace, d.spent = append(d.fails, 0), append(d.pace, 1), append(d.spent, nil)
-
 }
 
 // note remembers that peers are to be told of a worker.
@@ -733,23 +695,18 @@
 }
 
 func (d *Dispatcher) tell() {
-	d.text = d.text[:0]
+	d.loads = d.loads[:0]
 	for _, w := range d.changed {
-		d.text = binary.BigEndian.AppendUint16(d.text, uint16(d.hash[w]))
-		d.text = append(d.text, byte(min(d.own[w], 255)))
+		d.loads = append(d.loads, Load{w, d.own[w]})
 	}
-	d.changed = d.changed[:0]
-	d.tellAt = d.now + d.margin
-	d.link.Tell(d.text)
+	d.changed, d.tellAt = d.changed[:0], d.now+d.margin
+	d.link.Tell(d.loads)
 }
 
 // chance draws the next number of this dispatcher's own.
 func (d *Dispatcher) chance() uint64 {
-	var b [16]byte
-	binary.BigEndian.PutUint64(b[:8], d.seed)
-	binary.BigEndian.PutUint64(b[8:], d.chances)
 	d.chances++
 	h := fnv.New64a()
-	h.Write(b[:])
+	fmt.Fprint(h, d.seed, "/", d.chances)
 	return h.Sum64()
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -19,7 +19,6 @@
 	op                   Operation
 	over                 bool
 	surplus              bool // beyond its customer's share
-	landed               Time
 	due, latest, timeout Time // the latency objective, the latest start that keeps it, the latest final answer
 	size                 Work
 	lane                 int
@@ -34,18 +33,18 @@
 
 // Dispatcher decides for one instance.
 type Dispatcher struct {
-	link                                                                            Link
-	now                                                                             Time
-	seed, chances                                                                   uint64
-	ops                                                                             []operation
-	quota, used                                                                     []float64 // a customer's share of this dispatcher's landings a second, and its use of it
-	usedAt                                                                          []Time
-	zone                                                                            Zone
-	surplusShare, share, coldFrom, multiple, crossing                               float64
-	margin, askWithin, comeBack, ramp, span, patience                               Time
-	forwardsMost                                                                    int
-	askForList, cancels, copies, probes, peers, startNotes, onProbe, inFlightReport bool
-	atInFlight, atQueue, atFree                                                     int
+	link                                                   Link
+	now                                                    Time
+	seed, chances                                          uint64
+	ops                                                    []operation
+	quota, used                                            []float64 // a customer's share of this dispatcher's landings a second, and its use of it
+	usedAt                                                 []Time
+	zone                                                   Zone
+	surplusShare, share, coldFrom, multiple, crossing      float64
+	margin, askWithin, comeBack, ramp, span, patience      Time
+	forwardsMost                                           int
+	askForList, cancels, copies, probes, peers, startNotes bool
+	atInFlight, atQueue, atFree                            int
 
 	invs       []invocation
 	open, held []Inv
@@ -69,15 +68,16 @@
 
 	sample    []Work
 	sampled   int
+	median    Work
 	cuts      []Work
 	turn      [lanes + 1]int
 	fleetPace float64
 
 	room                                               bool
 	sweepAt, wakeAt, probeAt, tellAt, refreshAt, askAt Time
-	subscribed, asking                                 bool
+	subscribed                                         bool
 	asks                                               int
 	probeNext                                          int
 	changed                                            []Worker
-	text                                               []byte
+	loads                                              []Load
 }
--- a/decide/types.go
+++ b/decide/types.go
@@ -120,6 +120,12 @@
 	Repeat    bool
 }
 
+// Load is what one dispatcher has in flight at a worker.
+type Load struct {
+	Tgt      Worker
+	InFlight int
+}
+
 // Link carries a dispatcher's answers out. Forwards of an invocation are numbered 0, 1, 2... as made.
 type Link interface {
 	Forward(inv Inv, tgt Worker, within Time)
@@ -129,6 +135,6 @@
 	Wake(key uint64, after Time)
 	Subscribe()
 	Probe(tgt Worker)
-	Tell(text []byte) // to every peer
+	Tell(loads []Load) // to every peer; loads is void after the call
 	Log(line string)
 }
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -21,6 +21,7 @@
 
 	workers map[string]decide.Worker
 	names   []string // a worker's name on the wire, quoted
+	tags    []uint16 // a worker's name in messages to peers
 	invs    map[string]decide.Inv
 	tracks  []track
 	free    []decide.Inv
@@ -219,11 +220,11 @@
 		}
 		d.Probed(w, decide.Outcome(f.GetInt("reason")), numbers(f.Get("telemetry")))
 	case "Heard":
-		octets, err := octets(f.GetStringBytes("octets"))
+		loads, err := in.loads(f.GetStringBytes("octets"))
 		if err != nil {
 			return err
 		}
-		d.Heard(decide.Peer(f.GetInt("sender")), octets)
+		d.Heard(decide.Peer(f.GetInt("sender")), loads)
 	default:
 		return errors.New("unknown message")
 	}
--- a/internal/drill/fleet.go
+++ b/internal/drill/fleet.go
@@ -61,7 +61,7 @@
 		if !known {
 			w = decide.Worker(len(in.names))
 			in.workers[e.name] = w
-			in.names = append(in.names, quoted(e.name))
+			in.names, in.tags = append(in.names, quoted(e.name)), append(in.tags, tag(e.name))
 		}
 		e.entry.Tgt = w
 		entries = append(entries, e.entry)
--- a/internal/drill/reply.go
+++ b/internal/drill/reply.go
@@ -1,9 +1,7 @@
 package drill
 
 import (
-	"encoding/hex"
 	"encoding/json"
-	"fmt"
 	"math"
 	"strconv"
 
@@ -28,14 +26,6 @@
 	return row
 }
 
-func octets(digits []byte) ([]byte, error) {
-	text := make([]byte, hex.DecodedLen(len(digits)))
-	if _, err := hex.Decode(text, digits); err != nil {
-		return nil, fmt.Errorf("octets: %w", err)
-	}
-	return text, nil
-}
-
 func quoted(s string) string {
 	b, err := json.Marshal(s)
 	if err != nil {
@@ -154,11 +144,4 @@
 	in.reply.close()
 }
 
-func (in *instance) Tell(text []byte) {
-	in.reply.open("Signal", in.number)
-	in.reply.number("dst", -1)
-	in.reply.raw("octets", `"`+hex.EncodeToString(text)+`"`)
-	in.reply.close()
-}
-
 func (in *instance) Log(line string) { in.reply.text("Remark", in.number, line) }
