--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,6 +1,7 @@
-// The decision module. A caller makes one Dispatcher with New, sets its clock with Clock and then calls the
-// method that names what has happened (Landed, Started, Progressed, Ended, Left, Woke, Listed, ListFailed,
-// Probed, Heard); answers go out through Link while the call runs. Types and Link are in types.go.
+// The decision module. A caller makes one Dispatcher with New. For each input it sets the clock with Clock,
+// calls the method that names what has happened (Landed, Started, Ended, Left, Woke, Listed,
+// ListFailed, Reported, Heard) and then Settle, which goes through the rules. Answers go out through Link while
+// the calls run. The types and Link are in types.go; what a Dispatcher remembers is in state.go.
 package decide
 
 import (
@@ -66,7 +67,7 @@
 	return d, nil
 }
 
-// The inputs. Each notes what has happened and goes through the rules.
+// The inputs. Each notes what has happened; Settle then acts on it.
 
 func (d *Dispatcher) Clock(now Time) { d.now = now }
 
@@ -92,94 +93,60 @@
 	o.landed++
 	d.open, d.held = append(d.open, inv), append(d.held, inv)
 	d.room, d.sweepAt = true, min(d.sweepAt, d.now+d.patience, i.timeout)
-	d.settle()
 }
 
 func (d *Dispatcher) Started(inv Inv, n int) {
-	if f := d.forwardOut(inv, n); f != nil && f.started == 0 {
-		f.started = d.now
+	if f := &d.invs[inv].forwards[n]; f.out && f.started == 0 {
+		f.started, d.room = d.now, true
 		d.waiting[f.tgt]--
 		d.fits(f.tgt, d.load(f.tgt), d.now-f.sent < d.patience)
-		d.room = true
-		d.settle()
 	}
 }
 
-func (d *Dispatcher) Progressed(inv Inv, n int, share float64) {
-	if f := d.forwardOut(inv, n); f != nil && share > 0 && f.started > 0 {
-		if run := float64(d.now-f.started) / share; run > float64(d.invs[inv].size) {
-			d.learnPace(f.tgt, run, d.invs[inv].size, learn/2)
-		}
-		d.settle()
-	}
-}
-
-func (d *Dispatcher) Ended(inv Inv, n int, how Outcome, closed bool, report []float64) {
-	f := d.forwardOut(inv, n)
-	if f == nil {
-		return
-	}
-	i, w := &d.invs[inv], f.tgt
-	f.out, f.ran = false, how != Full && how != NoConnection && how != Moot
+func (d *Dispatcher) Ended(inv Inv, n int, how Outcome, closed bool) {
+	i, f := &d.invs[inv], &d.invs[inv].forwards[n]
+	w := f.tgt
+	f.out, f.ran, d.room = false, how != Full && how != NoConnection && how != Moot, true
 	i.out--
 	d.own[w]--
 	if f.started == 0 && d.startNotes {
 		d.waiting[w]--
 	}
+	d.note(w)
 	switch how {
 	case Succeeded:
-		from := f.started
-		if from == 0 {
-			from = f.sent
-		}
-		d.learnPace(w, float64(d.now-from), i.size, learn)
 		d.fails[w] = 0
+		if f.started == 0 {
+			f.started = f.sent
+		}
+		d.learnPace(w, float64(d.now-f.started), i.size, learn)
 	case Full:
 		d.fits(w, d.load(w)+1, false)
 		d.trialAt[w] = d.now + d.patience
 	case NoConnection, Reset:
 		// A crash or a cut link: nothing more goes there until a trial, later each time.
 		d.fails[w]++
-		d.downUntil[w] = d.now + Second<<min(d.fails[w]-1, 3)
+		d.trialAt[w] = d.now + Second<<min(d.fails[w]-1, 3)
 		d.link.Log(fmt.Sprintf("worker %d suspected down, failure %d", w, d.fails[w]))
 	}
-	d.note(w)
-	d.report(w, report)
-	if closed {
-		d.end(inv, -1)
-	} else if !i.over && i.out == 0 {
-		if d.mayGoOn(i) {
-			d.held = append(d.held, inv)
-		} else {
-			d.giveUp(inv)
-		}
-	}
-	d.room = true
-	d.settle()
-}
-
-func (d *Dispatcher) Left(inv Inv) {
-	if int(inv) < len(d.invs) && !d.invs[inv].over {
-		d.end(inv, -1)
-		d.settle()
-	}
-}
-
-// Streams tells that an answer has begun to flow: the client has it, and no time-out counts any more.
-func (d *Dispatcher) Streams(inv Inv, n int) {
-	if f := d.forwardOut(inv, n); f != nil && !d.invs[inv].over {
+	switch {
+	case closed:
 		d.end(inv, n)
-		d.settle()
+	case i.over || i.out > 0:
+	case d.mayGoOn(i):
+		d.held = append(d.held, inv)
+	default:
+		d.giveUp(inv)
 	}
 }
 
-func (d *Dispatcher) Operations() int { return len(d.ops) }
+// Left tells that an invocation is over for the client, but for the forward whose answer flows to it, if any.
+func (d *Dispatcher) Left(inv Inv, flowing int) { d.end(inv, flowing) }
 
 func (d *Dispatcher) Woke(key uint64) {
 	if Time(key) == d.wakeAt {
 		d.wakeAt = never
 	}
-	d.settle()
 }
 
 func (d *Dispatcher) ListFailed() {
@@ -187,7 +154,6 @@
 	d.asks, d.subscribed = d.asks+1, false
 	wait := min(d.askWithin/2, Second/2<<min(d.asks, 4))
 	d.askAt = d.now + wait/2 + Time(d.chance()%uint64(wait/2+1))
-	d.settle()
 }
 
 // Listed takes a list or a change to it; answer tells whether it may be the answer to a subscription.
@@ -209,7 +175,7 @@
 		h.Write([]byte(e.ID))
 		if e.Born > d.born[w] {
 			// A restart: what was known of the process is void, and it is cold.
-			d.born[w], d.pace[w], d.fails[w], d.downUntil[w] = e.Born, 1, 0, 0
+			d.born[w], d.pace[w], d.fails[w], d.trialAt[w] = e.Born, d.fleetPace, 0, 0
 		}
 		d.hash[w], d.workerZone[w], d.kind[w], d.cell[w], d.state[w] = h.Sum64(), e.Zone, e.Kind, e.Cell, e.State
 	}
@@ -221,14 +187,6 @@
 	}
 	slices.SortFunc(d.ring, func(a, b Worker) int { return cmp.Compare(d.hash[a], d.hash[b]) })
 	d.room = true
-	d.settle()
-}
-
-func (d *Dispatcher) Probed(w Worker, how Outcome, report []float64) {
-	if how == Succeeded {
-		d.report(w, report)
-	}
-	d.settle()
 }
 
 // Heard takes a peer's counts of what it has in flight.
@@ -243,19 +201,6 @@
 		load[l.Tgt] = l.InFlight
 	}
 	d.peerLoad[from], d.peerAt[from] = load, d.now
-	d.settle()
-}
-
-// forgetSilent drops the counts of peers that have died or are cut off: they would keep workers closed.
-func (d *Dispatcher) forgetSilent() {
-	for p, load := range d.peerLoad {
-		if d.now-d.peerAt[p] > 3*Second {
-			for w, n := range load {
-				d.others[w] -= n
-				load[w] = 0
-			}
-		}
-	}
 }
 
 // The rules, in order: when each is due, and what it does. After every input they are gone through from the
@@ -285,7 +230,8 @@
 	return never
 }
 
-func (d *Dispatcher) settle() {
+// Settle goes through the rules until none is due.
+func (d *Dispatcher) Settle() {
 	next := never
 	for n := 0; n < len(rules); n++ {
 		at := rules[n].due(d)
@@ -317,11 +263,16 @@
 func (d *Dispatcher) refresh() {
 	d.refreshAt = d.now + Second
 	d.changed = append(d.changed[:0], d.ring...)
-	d.forgetSilent()
+	for p, load := range d.peerLoad {
+		for w := range load {
+			if d.now-d.peerAt[p] > 3*Second { // it has died or is cut off: its counts would keep workers closed
+				d.others[w] -= load[w]
+				load[w] = 0
+			}
+		}
+	}
 }
 
-// Lanes.
-
 // takeHint keeps a bounded sample, the oldest hint dropping out, and from time to time cuts it anew.
 func (d *Dispatcher) takeHint(size Work) {
 	if len(d.sample) < sampleMost {
@@ -360,10 +311,7 @@
 // choose turns the lane's rotation to the next worker with room; where the block has none, it borrows.
 func (d *Dispatcher) choose(i *invocation) (Worker, bool) {
 	lo, hi := d.block(i.lane)
-	for _, near := range [2]bool{true, false} {
-		if near && d.crossing == 0 {
-			continue
-		}
+	for _, near := range [2]bool{d.crossing > 0, false} {
 		if w, ok := d.rotate(i, &d.turn[i.lane], lo, hi, near); ok {
 			return w, true
 		}
@@ -395,21 +343,18 @@
 // usable tells whether a worker may take this invocation now.
 func (d *Dispatcher) usable(w Worker, i *invocation) bool {
 	kind := d.ops[i.op].kind
-	return d.idle(w) && (kind < 0 || kind == d.kind[w]) && (d.own[w] == 0 || !d.suspect(w)) && d.withinCold(w, i.size)
+	return d.idle(w) && (kind < 0 || kind == d.kind[w]) && (d.own[w] == 0 || !d.suspect(w)) &&
+		d.withinCold(w, i.size)
 }
 
 // idle tells whether a worker is believed up and has a slot to spare.
 func (d *Dispatcher) idle(w Worker) bool {
-	return d.state[w] == Healthy && d.now >= d.downUntil[w] && d.now >= d.trialAt[w] && d.waiting[w] == 0 &&
-		(d.fails[w] == 0 || d.own[w] == 0) && float64(d.load(w)) < d.slotsOf(w)
+	return d.state[w] == Healthy && d.now >= d.trialAt[w] && d.waiting[w] == 0 &&
+		(d.fails[w] == 0 || d.own[w] == 0) && float64(d.load(w)) < math.Round(d.slots[d.kind[w]]*d.warmth(w))
 }
 
 func (d *Dispatcher) load(w Worker) int { return d.own[w] + max(d.others[w], 0) }
 
-func (d *Dispatcher) slotsOf(w Worker) float64 {
-	return math.Round(d.slots[d.kind[w]] * d.warmth(w))
-}
-
 // warmth is the share of its capacity that a worker surely has, by its age.
 func (d *Dispatcher) warmth(w Worker) float64 {
 	if d.born[w] == 0 || d.ramp == 0 || d.now-d.born[w] >= d.ramp {
@@ -420,18 +365,14 @@
 
 // withinCold keeps this dispatcher's part of what all together may send a cold worker within the span.
 func (d *Dispatcher) withinCold(w Worker, size Work) bool {
-	warmth := d.warmth(w)
-	if warmth == 1 {
-		return true
-	}
-	sent := size
+	warmth, sent := d.warmth(w), size
 	for _, s := range d.spent[w] {
 		if s.at > d.now-d.span {
 			sent += s.work
 		}
 	}
 	budget := d.multiple * warmth * d.most[d.kind[w]] * float64(d.span) * d.share
-	return float64(sent) <= budget*(1-coldMargin)
+	return warmth == 1 || float64(sent) <= budget*(1-coldMargin)
 }
 
 // suspect tells of a worker far slower than the fleet. Where most seem so, the fleet has changed, not they.
@@ -477,7 +418,8 @@
 
 // mayGoOn tells whether any worker listed could still be sent this invocation.
 func (d *Dispatcher) mayGoOn(i *invocation) bool {
-	return slices.ContainsFunc(d.ring, func(w Worker) bool { return d.state[w] == Healthy && d.mayForward(i, w) })
+	able := func(w Worker) bool { return d.state[w] == Healthy && d.mayForward(i, w) }
+	return slices.ContainsFunc(d.ring, able)
 }
 
 // placeHeld sends what is held, the most urgent first, for as long as there is room.
@@ -536,16 +478,14 @@
 
 // sweep looks over all that is open and finds when to look again.
 func (d *Dispatcher) sweep() {
-	d.sweepAt = d.now + d.patience
+	d.sweepAt, d.room = d.now+d.patience, true
 	d.waitingInTime = slices.ContainsFunc(d.held, func(inv Inv) bool { return !d.late(&d.invs[inv]) })
 	for n := len(d.open) - 1; n >= 0; n-- {
 		inv := d.open[n]
 		i := &d.invs[inv]
 		switch {
-		case d.now >= i.timeout:
-			d.giveUp(inv) // no outcome came in time: the client still gets its final answer
-		case i.out == 0 && d.hopeless(i):
-			d.giveUp(inv)
+		case d.now >= i.timeout || i.out == 0 && d.hopeless(i):
+			d.giveUp(inv) // also where no outcome comes: the client still gets its final answer in time
 		case i.out == 1:
 			d.rescue(inv)
 		}
@@ -553,8 +493,6 @@
 			d.sweepAt = min(d.sweepAt, i.timeout)
 		}
 	}
-	d.sweepAt = max(d.sweepAt, d.now+1)
-	d.room = true
 }
 
 // hopeless tells of an invocation with nothing out that is late while others in time are waiting.
@@ -562,7 +500,7 @@
 	return d.late(i) && (d.ops[i.op].tardy == 0 || d.waitingInTime)
 }
 
-// rescue sends a second copy where a forward sits unstarted or crawls, and calls off one that has not started.
+// rescue sends a second copy where a forward sits unstarted or crawls; the unstarted one is called off.
 func (d *Dispatcher) rescue(inv Inv) {
 	i := &d.invs[inv]
 	f := &i.forwards[len(i.forwards)-1]
@@ -575,14 +513,11 @@
 	if stuck {
 		d.fits(f.tgt, d.load(f.tgt), false)
 	}
-	w, ok := d.choose(i)
-	if !ok {
-		return
-	}
-	n := len(i.forwards) - 1
-	d.forward(inv, w)
-	if stuck && d.cancels {
-		d.link.Cancel(inv, n)
+	if w, ok := d.choose(i); ok {
+		d.forward(inv, w)
+		if stuck && d.cancels {
+			d.link.Cancel(inv, len(i.forwards)-2)
+		}
 	}
 }
 
@@ -617,15 +552,6 @@
 	d.open = d.open[:len(d.open)-1]
 }
 
-// What is learnt.
-
-func (d *Dispatcher) forwardOut(inv Inv, n int) *forward {
-	if int(inv) >= len(d.invs) || n < 0 || n >= len(d.invs[inv].forwards) || !d.invs[inv].forwards[n].out {
-		return nil
-	}
-	return &d.invs[inv].forwards[n]
-}
-
 // fits moves the slots believed toward what a start at once, or a wait, shows.
 func (d *Dispatcher) fits(w Worker, load int, atOnce bool) {
 	k := d.kind[w]
@@ -655,8 +581,8 @@
 	}
 }
 
-// report takes the slots that a load report shows. Reports are late, so they say nothing of the load now.
-func (d *Dispatcher) report(w Worker, r []float64) {
+// Reported takes the slots that a load report shows. Reports are late, so they say nothing of the load now.
+func (d *Dispatcher) Reported(w Worker, r []float64) {
 	if d.atFree < 0 || d.atFree >= len(r) || d.warmth(w) < 1 {
 		return
 	}
@@ -682,9 +608,9 @@
 func (d *Dispatcher) addWorker() {
 	d.hash, d.workerZone, d.kind = append(d.hash, 0), append(d.workerZone, 0), append(d.kind, 0)
 	d.cell, d.state, d.born = append(d.cell, 0), append(d.state, Gone), append(d.born, 0)
-	d.downUntil, d.trialAt = append(d.downUntil, 0), append(d.trialAt, 0)
 	d.own, d.waiting, d.others = append(d.own, 0), append(d.waiting, 0), append(d.others, 0)
-	d.fails, d.pace, d.spent = append(d.fails, 0), append(d.pace, 1), append(d.spent, nil)
+	d.fails, d.pace, d.spent = append(d.fails, 0), append(d.pace, d.fleetPace), append(d.spent, nil)
+	d.trialAt = append(d.trialAt, 0)
 }
 
 // note remembers that peers are to be told of a worker.
--- a/decide/state.go
+++ b/decide/state.go
@@ -19,7 +19,7 @@
 	op                   Operation
 	over                 bool
 	surplus              bool // beyond its customer's share
-	due, latest, timeout Time // the latency objective, the latest start that keeps it, the latest final answer
+	due, latest, timeout Time // the latency objective, the last start to keep it, the last final answer
 	size                 Work
 	lane                 int
 	forwards             []forward
@@ -33,51 +33,61 @@
 
 // Dispatcher decides for one instance.
 type Dispatcher struct {
-	link                                                   Link
-	now                                                    Time
-	seed, chances                                          uint64
-	ops                                                    []operation
-	quota, used                                            []float64 // a customer's share of this dispatcher's landings a second, and its use of it
-	usedAt                                                 []Time
-	zone                                                   Zone
-	surplusShare, share, coldFrom, multiple, crossing      float64
-	margin, askWithin, comeBack, ramp, span, patience      Time
-	forwardsMost                                           int
-	askForList, cancels, copies, probes, peers, startNotes bool
-	atInFlight, atQueue, atFree                            int
+	link          Link
+	now           Time
+	seed, chances uint64
 
-	invs       []invocation
-	open, held []Inv
+	// Figures derived at the start.
+	ops                         []operation
+	zone                        Zone
+	share, coldFrom, multiple   float64
+	surplusShare, crossing      float64
+	margin, askWithin, comeBack Time
+	ramp, span, patience        Time
+	forwardsMost                int
+	askForList, cancels, copies bool
+	probes, peers, startNotes   bool
+	atInFlight, atQueue, atFree int
+	quota                       []float64 // by Customer: landings a second here that count in full
 
-	// figures about workers, by Worker
+	// What is open, and which of it waits for a worker.
+	invs          []invocation
+	open, held    []Inv
+	waitingInTime bool      // something held can still be in time
+	used          []float64 // by Customer: landings not yet worn off by its quota
+	usedAt        []Time
+
+	// Figures about workers, by Worker.
 	hash                        []uint64
 	workerZone                  []Zone
 	kind                        []Kind
 	cell                        []Cell
 	state                       []State
-	born, downUntil, trialAt    []Time
+	born, trialAt               []Time
 	own, waiting, others, fails []int
-	pace                        []float64
+	pace                        []float64 // running time over hint
 	spent                       [][]spend
-	ring                        []Worker
-	slots, most                 []float64 // by Kind: slots believed, and the most seen at work
-	peerLoad                    [][]int   // by Peer and Worker
-	peerAt                      []Time
-	slow                        int // workers slower than the fleet
-	waitingInTime               bool
+	ring                        []Worker // those listed, by hash
+
+	slots, most []float64 // by Kind: slots believed, and the most seen at work
+	fleetPace   float64
+	slow        int     // how many workers are slower than the fleet
+	peerLoad    [][]int // by Peer and Worker
+	peerAt      []Time
 
-	sample    []Work
-	sampled   int
-	median    Work
-	cuts      []Work
-	turn      [lanes + 1]int
-	fleetPace float64
+	// Lanes.
+	sample  []Work
+	sampled int
+	median  Work
+	cuts    []Work
+	turn    [lanes + 1]int // the last one is for borrowing
 
-	room                                               bool
-	sweepAt, wakeAt, probeAt, tellAt, refreshAt, askAt Time
-	subscribed                                         bool
-	asks                                               int
-	probeNext                                          int
-	changed                                            []Worker
-	loads                                              []Load
+	// When rules are due.
+	room                     bool // something has changed that may let a held invocation go
+	sweepAt, probeAt, tellAt Time
+	refreshAt, askAt, wakeAt Time
+	subscribed               bool
+	asks, probeNext          int
+	changed                  []Worker
+	loads                    []Load
 }
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -16,6 +16,7 @@
 // instance is one dispatcher with its own names for what the wire calls by text.
 type instance struct {
 	number     int
+	operations int
 	dispatcher *decide.Dispatcher
 	reply      *reply
 
@@ -25,7 +26,7 @@
 	invs    map[string]decide.Inv
 	tracks  []track
 	free    []decide.Inv
-	done    []decide.Inv // over and with nothing out, to be freed when the call returns
+	done    []decide.Inv // perhaps over with nothing out, to be freed after the rules
 	closed  bool         // the terms failed: nothing more is expected of it
 }
 
@@ -152,6 +153,7 @@
 	return in.guard(func() error {
 		in.dispatcher.Clock(now)
 		err := h.tellInstance(in, key, f)
+		in.dispatcher.Settle()
 		for _, inv := range in.done {
 			in.release(inv)
 		}
@@ -167,6 +169,7 @@
 	return in.guard(func() error {
 		t, err := terms(f.Get("setup"))
 		if err == nil {
+			in.operations = len(t.Operations)
 			in.dispatcher, err = decide.New(t, f.GetUint64("nonce64"), in)
 		}
 		if err != nil {
@@ -201,15 +204,15 @@
 		inv, n, err := in.forwardOf(f)
 		if err == nil {
 			in.tracks[inv].over = true
-			d.Streams(inv, n)
+			d.Left(inv, n)
 		}
 		return err
 	case "TimedOutClient":
 		// One that has ended already in this batch may be named again: that is harmless.
 		if inv, ok := in.invs[string(f.GetStringBytes("rid"))]; ok {
 			in.tracks[inv].over = true
-			d.Left(inv)
-			in.release(inv)
+			in.done = append(in.done, inv)
+			d.Left(inv, -1)
 		}
 	case "Bell":
 		d.Woke(f.GetUint64("keyBack"))
@@ -218,7 +221,7 @@
 		if !ok {
 			return fmt.Errorf("unknown worker %q", f.GetStringBytes("worker"))
 		}
-		d.Probed(w, decide.Outcome(f.GetInt("reason")), numbers(f.Get("telemetry")))
+		d.Reported(w, numbers(f.Get("telemetry")))
 	case "Heard":
 		loads, err := in.loads(f.GetStringBytes("octets"))
 		if err != nil {
@@ -233,7 +236,7 @@
 
 func (in *instance) arrival(f *fastjson.Value) error {
 	name := string(f.GetStringBytes("rid"))
-	if name == "" || in.dispatcher.Operations() <= f.GetInt("band") || f.GetInt("band") < 0 {
+	if name == "" || in.operations <= f.GetInt("band") || f.GetInt("band") < 0 {
 		return fmt.Errorf("no rid, or unknown operation %d", f.GetInt("band"))
 	}
 	if _, known := in.invs[name]; known {
@@ -255,7 +258,6 @@
 		Slots:     f.GetFloat64("coresNeeded"),
 		Repeat:    f.GetBool("repeat"),
 	})
-	in.release(inv)
 	return nil
 }
 
@@ -285,12 +287,15 @@
 		t := &in.tracks[inv]
 		t.out--
 		t.over = t.over || f.GetBool("closed")
-		in.dispatcher.Ended(inv, n, decide.Outcome(how), f.GetBool("closed"), numbers(f.Get("telemetry")))
-		in.release(inv)
-	case f.GetInt("what") == 1:
+		in.done = append(in.done, inv)
+		w, known := in.workers[string(f.GetStringBytes("worker"))]
+		if !known {
+			return fmt.Errorf("unknown worker %q", f.GetStringBytes("worker"))
+		}
+		in.dispatcher.Ended(inv, n, decide.Outcome(how), f.GetBool("closed"))
+		in.dispatcher.Reported(w, numbers(f.Get("telemetry")))
+	case f.GetInt("what") == 1: // notes of progress decide nothing so far
 		in.dispatcher.Started(inv, n)
-	case f.GetInt("what") == 2:
-		in.dispatcher.Progressed(inv, n, f.GetFloat64("x"))
 	}
 	return nil
 }
--- a/internal/drill/peers.go
+++ b/internal/drill/peers.go
@@ -10,7 +10,7 @@
 	"canvasroute/decide"
 )
 
-// A message to peers holds three bytes a worker: the tag of its name, and how many forwards are in flight there.
+// A message to peers holds three bytes a worker: the tag of its name, and how many forwards are out there.
 // One message takes messageMost bytes at most.
 const (
 	loadBytes   = 3
--- a/internal/drill/reply.go
+++ b/internal/drill/reply.go
@@ -120,9 +120,7 @@
 // finish marks an invocation over. Its number is not freed while the dispatcher may still be at work on it.
 func (in *instance) finish(inv decide.Inv) {
 	in.tracks[inv].over = true
-	if in.tracks[inv].out == 0 {
-		in.done = append(in.done, inv)
-	}
+	in.done = append(in.done, inv)
 }
 
 func (in *instance) Wake(key uint64, after decide.Time) {
