Hold by value per work, no longer than the objective; stay-away only where late answers earn

Cause: slack judged from rough hints let held work run late, and a stay-away time costs a retry where a late answer is worthless.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -24,7 +24,6 @@
 	coldMargin  = 0.5 // of a cold worker's budget is kept back, as hints are rough
 	slowPace    = 1.8 // of the fleet's pace: a worker slower than this is suspect
 	learn       = 0.2 // weight of a new sample in a running figure
-	slackKept   = 0.5 // of the slack that grows with the size, as hints are rough
 	slotsFirst  = 8.0 // slots believed before anything was refused or kept waiting
 )
 
@@ -49,7 +48,7 @@
 		if o.Objective < 0 || o.ClientTimeout < 0 || o.Window < 0 {
 			return nil, fmt.Errorf("operations[%d]: a negative time", n)
 		}
-		d.ops = append(d.ops, operation{objective: o.Objective, window: o.Window, stretch: o.Stretch,
+		d.ops = append(d.ops, operation{objective: o.Objective, window: o.Window,
 			tardy: o.TardyShare, value: o.Value, repeat: o.Repeat, scope: o.Scope, kind: o.Kind})
 		d.patience = min(d.patience, o.Objective/10)
 	}
@@ -86,9 +85,7 @@
 		i.size = d.median
 	}
 	i.lane, _ = slices.BinarySearch(d.cuts, i.size+1)
-	run := float64(i.size) / max(l.Slots, 1)
-	i.due = d.now - elapsed + o.objective + Time(o.stretch*run)
-	i.latest = i.due - Time(run*(1+(o.stretch-1)*slackKept))
+	i.latest = d.now - elapsed + o.objective // any more slack would hang on a rough hint
 	o.mean += max(learn/4, 1/float64(1+o.landed)) * (float64(i.size) - o.mean)
 	o.landed++
 	d.open, d.held = append(d.open, inv), append(d.held, inv)
@@ -428,7 +425,7 @@
 	for passed := 0; passed < len(d.held) && passed <= len(d.ring) && slices.ContainsFunc(d.ring, d.idle); {
 		best := passed
 		for n := passed; n < len(d.held); n++ {
-			if d.rank(d.held[n]) < d.rank(d.held[best]) {
+			if d.before(d.held[n], d.held[best]) {
 				best = n
 			}
 		}
@@ -445,18 +442,18 @@
 	}
 }
 
-// rank orders held invocations: first those in time and in share, then by slack over billed value per work.
-func (d *Dispatcher) rank(inv Inv) float64 {
-	i := &d.invs[inv]
-	o := &d.ops[i.op]
-	value := o.value * Second / max(o.mean, 1)
+// before orders held invocations: by billed value for each unit of work, then by the latest start.
+func (d *Dispatcher) before(a, b Inv) bool {
+	i, j := &d.invs[a], &d.invs[b]
+	return cmp.Or(cmp.Compare(d.value(j), d.value(i)), cmp.Compare(i.latest, j.latest)) < 0
+}
+
+func (d *Dispatcher) value(i *invocation) float64 {
+	value := d.ops[i.op].value / max(d.ops[i.op].mean, 1)
 	if i.surplus {
 		value *= d.surplusShare
 	}
-	if d.late(i) {
-		return math.MaxInt32 + float64(i.due)/max(value*o.tardy, 1e-3)
-	}
-	return float64(i.latest-d.now+o.objective) / max(value, 1e-3)
+	return value
 }
 
 // late tells that a forward made now would probably miss the latency objective.
@@ -479,12 +476,11 @@
 // sweep looks over all that is open and finds when to look again.
 func (d *Dispatcher) sweep() {
 	d.sweepAt, d.room = d.now+d.patience, true
-	d.waitingInTime = slices.ContainsFunc(d.held, func(inv Inv) bool { return !d.late(&d.invs[inv]) })
 	for n := len(d.open) - 1; n >= 0; n-- {
 		inv := d.open[n]
 		i := &d.invs[inv]
 		switch {
-		case d.now >= i.timeout || i.out == 0 && d.hopeless(i):
+		case d.now >= i.timeout || i.out == 0 && d.late(i):
 			d.giveUp(inv) // also where no outcome comes: the client still gets its final answer in time
 		case i.out == 1:
 			d.rescue(inv)
@@ -495,11 +491,6 @@
 	}
 }
 
-// hopeless tells of an invocation with nothing out that is late while others in time are waiting.
-func (d *Dispatcher) hopeless(i *invocation) bool {
-	return d.late(i) && (d.ops[i.op].tardy == 0 || d.waitingInTime)
-}
-
 // rescue sends a second copy where a forward sits unstarted or crawls; the unstarted one is called off.
 func (d *Dispatcher) rescue(inv Inv) {
 	i := &d.invs[inv]
@@ -524,10 +515,13 @@
 // giveUp gives the final answer at once: throttled where that is permitted, else errored.
 func (d *Dispatcher) giveUp(inv Inv) {
 	i := &d.invs[inv]
-	if d.mayThrottle(i) {
-		d.link.Throttle(inv, d.comeBack)
-	} else {
+	switch {
+	case !d.mayThrottle(i):
 		d.link.Error(inv)
+	case d.ops[i.op].tardy > 0: // a late answer still earns: better after the crush than soon
+		d.link.Throttle(inv, d.comeBack)
+	default:
+		d.link.Throttle(inv, 0)
 	}
 	d.end(inv, -1)
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -1,12 +1,12 @@
 package decide
 
 type operation struct {
-	objective, window, longest  Time    // longest: the longest grace seen, a first try's
-	stretch, value, tardy, mean float64 // mean: of the sizes landed
-	landed                      int
-	repeat                      Repeat
-	scope                       Scope
-	kind                        Kind
+	objective, window, longest Time    // longest: the longest grace seen, a first try's
+	value, tardy, mean         float64 // mean: of the sizes landed
+	landed                     int
+	repeat                     Repeat
+	scope                      Scope
+	kind                       Kind
 }
 
 type forward struct {
@@ -16,14 +16,14 @@
 }
 
 type invocation struct {
-	op                   Operation
-	over                 bool
-	surplus              bool // beyond its customer's share
-	due, latest, timeout Time // the latency objective, the last start to keep it, the last final answer
-	size                 Work
-	lane                 int
-	forwards             []forward
-	out, place           int
+	op              Operation
+	over            bool
+	surplus         bool // beyond its customer's share
+	latest, timeout Time // the last start that may keep the latency objective, the last final answer
+	size            Work
+	lane            int
+	forwards        []forward
+	out, place      int
 }
 
 type spend struct {
