--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,12 +1,11 @@
 // The decision module. A caller makes one Dispatcher with New. For each input it sets the clock with Clock,
 // calls the method that names what has happened (Landed, Started, Ended, Left, Woke, Listed,
-// ListFailed, Reported, Heard) and then Settle, which goes through the rules. Answers go out through Link while
-// the calls run. The types and Link are in types.go; what a Dispatcher remembers is in state.go.
+// ListFailed, Reported, Heard) and then Settle, which goes through the rules. Answers go out through Link
+// while the calls run. The types and Link are in types.go; what a Dispatcher remembers is in state.go.
 package decide
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
 	"hash/fnv"
 	"math"
@@ -27,29 +26,21 @@
 	slotsFirst  = 8.0 // slots believed before anything was refused or kept waiting
 )
 
-// New derives a dispatcher's figures from its terms.
-func New(t Terms, seed uint64, link Link) (*Dispatcher, error) {
-	switch {
-	case len(t.Operations) == 0:
-		return nil, errors.New("operations: there must be at least one")
-	case t.Dispatchers < 1:
-		return nil, fmt.Errorf("dispatchers: %d, must be at least 1", t.Dispatchers)
-	case min(t.Granularity, t.Ramp, t.FallSpan, t.AskWithin, t.ComeBackMost, t.DrainGrace) < 0:
-		return nil, errors.New("times: none may be negative")
-	}
+// New derives a dispatcher's figures from its terms, which the caller has checked.
+func New(t Terms, seed uint64, link Link) *Dispatcher {
 	d := &Dispatcher{link: link, seed: seed, zone: t.Zone, share: 1 / float64(t.Dispatchers),
 		coldFrom: t.ColdFrom, multiple: t.FallMultiple, ramp: t.Ramp, span: t.FallSpan,
 		crossing: t.CrossCost, surplusShare: t.SurplusShare, margin: 2*t.Granularity + Second/1000,
-		askWithin: t.AskWithin, comeBack: t.ComeBackMost, forwardsMost: t.ForwardsMost, askForList: t.AskForList,
+		askWithin: t.AskWithin, forwardsMost: t.ForwardsMost, askForList: t.AskForList,
 		cancels: t.MayCancel, copies: t.Copies, probes: t.Probes && t.ReportsOnProbe,
 		peers: t.Peers && t.Dispatchers > 1, startNotes: t.StartNotes, fleetPace: 1, patience: never,
 		atInFlight: t.ReportInFlight, atQueue: t.ReportQueue, atFree: t.ReportFree, wakeAt: never}
 	for n, o := range t.Operations {
-		if o.Objective < 0 || o.ClientTimeout < 0 || o.Window < 0 {
-			return nil, fmt.Errorf("operations[%d]: a negative time", n)
+		d.ops = append(d.ops, operation{objective: o.Objective, window: o.Window, value: o.Value,
+			repeat: o.Repeat, scope: o.Scope, kind: o.Kind})
+		if t.ComeBack && o.TardyShare > 0 { // a late answer still earns: better after the crush than soon
+			d.ops[n].comeBack = t.ComeBackMost
 		}
-		d.ops = append(d.ops, operation{objective: o.Objective, window: o.Window,
-			tardy: o.TardyShare, value: o.Value, repeat: o.Repeat, scope: o.Scope, kind: o.Kind})
 		d.patience = min(d.patience, o.Objective/10)
 	}
 	for _, c := range t.Customers {
@@ -63,7 +54,7 @@
 	for l := range d.turn {
 		d.turn[l] = int(d.chance() % (1 << 20))
 	}
-	return d, nil
+	return d
 }
 
 // The inputs. Each notes what has happened; Settle then acts on it.
@@ -78,17 +69,18 @@
 	o.longest = max(o.longest, l.Grace)
 	elapsed := o.longest - l.Grace // what the client has spent on earlier tries
 	*i = invocation{op: l.Operation, timeout: d.now + l.Grace - d.margin, forwards: i.forwards[:0],
-		size: Work(float64(l.Hint) * max(l.Slots, 1)), surplus: d.spendShare(l.Customer), place: len(d.open)}
+		latest: d.now - elapsed + o.objective, // any more slack would hang on a rough hint
+		size:   Work(float64(l.Hint) * max(l.Slots, 1)), place: len(d.open), surplus: d.overShare(l.Customer)}
 	if i.size > 0 {
 		d.takeHint(i.size)
 	} else {
 		i.size = d.median
 	}
 	i.lane, _ = slices.BinarySearch(d.cuts, i.size+1)
-	i.latest = d.now - elapsed + o.objective // any more slack would hang on a rough hint
 	o.mean += max(learn/4, 1/float64(1+o.landed)) * (float64(i.size) - o.mean)
 	o.landed++
-	d.open, d.held = append(d.open, inv), append(d.held, inv)
+	d.open = append(d.open, inv)
+	d.hold(inv)
 	d.room, d.sweepAt = true, min(d.sweepAt, d.now+d.patience, i.timeout)
 }
 
@@ -119,7 +111,6 @@
 		d.learnPace(w, float64(d.now-f.started), i.size, learn)
 	case Full:
 		d.fits(w, d.load(w)+1, false)
-		d.trialAt[w] = d.now + d.patience
 	case NoConnection, Reset:
 		// A crash or a cut link: nothing more goes there until a trial, later each time.
 		d.fails[w]++
@@ -131,7 +122,7 @@
 		d.end(inv, n)
 	case i.over || i.out > 0:
 	case d.mayGoOn(i):
-		d.held = append(d.held, inv)
+		d.hold(inv)
 	default:
 		d.giveUp(inv)
 	}
@@ -213,7 +204,7 @@
 	// Held invocations go where there is room.
 	{func(d *Dispatcher) Time { return when(d.room && len(d.held) > 0, d.now) }, (*Dispatcher).placeHeld},
 	// Load reports come with probes alone.
-	{func(d *Dispatcher) Time { return when(d.probes && len(d.open) > 0, d.probeAt) }, (*Dispatcher).probe},
+	{func(d *Dispatcher) Time { return when(d.probes && len(d.ring) > 0, d.probeAt) }, (*Dispatcher).probe},
 	// Messages get lost: now and then peers are told of all workers, and the silent are forgotten.
 	{func(d *Dispatcher) Time { return when(d.peers && len(d.open) > 0, d.refreshAt) }, (*Dispatcher).refresh},
 	// Peers learn of changes in what is in flight here.
@@ -250,11 +241,9 @@
 }
 
 func (d *Dispatcher) probe() {
-	d.probeAt = d.now + Second/2/Time(max(len(d.ring), 1))
-	if len(d.ring) > 0 {
-		d.probeNext++
-		d.link.Probe(d.ring[d.probeNext%len(d.ring)])
-	}
+	d.probeNext++
+	d.probeAt = d.now + Second/2/Time(len(d.ring))
+	d.link.Probe(d.ring[d.probeNext%len(d.ring)])
 }
 
 func (d *Dispatcher) refresh() {
@@ -295,24 +284,23 @@
 		}
 		sum += s
 	}
-}
-
-// block is a lane's part of the ring, the same at every dispatcher.
-func (d *Dispatcher) block(lane int) (lo, hi int) {
-	if len(d.cuts) == 0 || len(d.ring) < lanes {
-		return 0, len(d.ring)
+	for n := range d.ops {
+		d.ops[n].density = d.ops[n].value / max(d.ops[n].mean, 1)
 	}
-	return len(d.ring) * lane / lanes, len(d.ring) * (lane + 1) / lanes
+	slices.SortFunc(d.held, d.order)
 }
 
 // choose turns the lane's rotation to the next worker with room; where the block has none, it borrows.
 func (d *Dispatcher) choose(i *invocation) (Worker, bool) {
-	lo, hi := d.block(i.lane)
+	lo, hi, n := 0, len(d.ring), len(d.ring)
+	if len(d.cuts) > 0 && n >= lanes {
+		lo, hi = n*i.lane/lanes, n*(i.lane+1)/lanes // the lane's block, the same at every dispatcher
+	}
 	for _, near := range [2]bool{d.crossing > 0, false} {
 		if w, ok := d.rotate(i, &d.turn[i.lane], lo, hi, near); ok {
 			return w, true
 		}
-		if w, ok := d.rotate(i, &d.turn[lanes], 0, len(d.ring), near); ok {
+		if w, ok := d.rotate(i, &d.turn[lanes], 0, n, near); ok {
 			return w, true
 		}
 	}
@@ -372,10 +360,9 @@
 	return warmth == 1 || float64(sent) <= budget*(1-coldMargin)
 }
 
-// suspect tells of a worker far slower than the fleet. Where most seem so, the fleet has changed, not they.
-func (d *Dispatcher) suspect(w Worker) bool {
-	return d.pace[w] >= slowPace*d.fleetPace && d.slow*2 <= len(d.ring)
-}
+// suspect tells of a worker far slower than the fleet. The fleet's pace is the mean of all, so a change that
+// strikes them all makes none suspect, and never can all be.
+func (d *Dispatcher) suspect(w Worker) bool { return d.pace[w] >= slowPace*d.fleetPace }
 
 // mayForward is the rule against double effects, for one more forward to w.
 func (d *Dispatcher) mayForward(i *invocation, w Worker) bool {
@@ -419,45 +406,35 @@
 	return slices.ContainsFunc(d.ring, able)
 }
 
-// placeHeld sends what is held, the most urgent first, for as long as there is room.
+// placeHeld sends what is held, in order, for as long as there is room.
 func (d *Dispatcher) placeHeld() {
 	d.room = false
-	for passed := 0; passed < len(d.held) && passed <= len(d.ring) && slices.ContainsFunc(d.ring, d.idle); {
-		best := passed
-		for n := passed; n < len(d.held); n++ {
-			if d.before(d.held[n], d.held[best]) {
-				best = n
-			}
-		}
-		inv := d.held[best]
-		d.held[best] = d.held[passed]
-		if w, ok := d.choose(&d.invs[inv]); ok {
-			d.held[passed] = d.held[len(d.held)-1]
-			d.held = d.held[:len(d.held)-1]
-			d.forward(inv, w)
-		} else {
-			d.held[passed] = inv
-			passed++
+	for n := 0; n < len(d.held) && n <= len(d.ring) && slices.ContainsFunc(d.ring, d.idle); n++ {
+		if w, ok := d.choose(&d.invs[d.held[n]]); ok {
+			d.forward(d.held[n], w)
+			d.held = slices.Delete(d.held, n, n+1)
+			n--
 		}
 	}
 }
 
-// before orders held invocations: by billed value for each unit of work, then by the latest start.
-func (d *Dispatcher) before(a, b Inv) bool {
+// order is that of held invocations: by billed value for each unit of work, then by the latest start.
+func (d *Dispatcher) order(a, b Inv) int {
 	i, j := &d.invs[a], &d.invs[b]
-	return cmp.Or(cmp.Compare(d.value(j), d.value(i)), cmp.Compare(i.latest, j.latest)) < 0
+	return cmp.Or(cmp.Compare(d.value(j), d.value(i)), cmp.Compare(i.latest, j.latest))
 }
 
 func (d *Dispatcher) value(i *invocation) float64 {
-	value := d.ops[i.op].value / max(d.ops[i.op].mean, 1)
 	if i.surplus {
-		value *= d.surplusShare
+		return d.ops[i.op].density * d.surplusShare
 	}
-	return value
+	return d.ops[i.op].density
 }
 
-// late tells that a forward made now would probably miss the latency objective.
-func (d *Dispatcher) late(i *invocation) bool { return d.now > i.latest }
+func (d *Dispatcher) hold(inv Inv) {
+	n, _ := slices.BinarySearchFunc(d.held, inv, d.order)
+	d.held = slices.Insert(d.held, n, inv)
+}
 
 func (d *Dispatcher) forward(inv Inv, w Worker) {
 	i := &d.invs[inv]
@@ -480,7 +457,7 @@
 		inv := d.open[n]
 		i := &d.invs[inv]
 		switch {
-		case d.now >= i.timeout || i.out == 0 && d.late(i):
+		case d.now >= i.timeout || i.out == 0 && d.now > i.latest:
 			d.giveUp(inv) // also where no outcome comes: the client still gets its final answer in time
 		case i.out == 1:
 			d.rescue(inv)
@@ -498,7 +475,7 @@
 	stuck := d.startNotes && f.started == 0 && d.now-f.sent >= d.patience
 	from := max(f.started, f.sent)
 	crawls := !stuck && float64(d.now-from) > slowPace*d.fleetPace*float64(i.size) && d.suspect(f.tgt)
-	if !f.out || len(d.held) > 0 || d.late(i) || !(stuck || crawls) {
+	if !f.out || len(d.held) > 0 || d.now > i.latest || !(stuck || crawls) {
 		return
 	}
 	if stuck {
@@ -515,13 +492,10 @@
 // giveUp gives the final answer at once: throttled where that is permitted, else errored.
 func (d *Dispatcher) giveUp(inv Inv) {
 	i := &d.invs[inv]
-	switch {
-	case !d.mayThrottle(i):
+	if d.mayThrottle(i) {
+		d.link.Throttle(inv, d.ops[i.op].comeBack)
+	} else {
 		d.link.Error(inv)
-	case d.ops[i.op].tardy > 0: // a late answer still earns: better after the crush than soon
-		d.link.Throttle(inv, d.comeBack)
-	default:
-		d.link.Throttle(inv, 0)
 	}
 	d.end(inv, -1)
 }
@@ -567,12 +541,6 @@
 	p := min(max(run/float64(size), d.fleetPace/4), d.fleetPace*4)
 	d.pace[w] += weight * (p - d.pace[w])
 	d.fleetPace += weight / float64(len(d.ring)+1) * (p - d.fleetPace)
-	d.slow = 0
-	for _, v := range d.ring {
-		if d.pace[v] >= slowPace*d.fleetPace {
-			d.slow++
-		}
-	}
 }
 
 // Reported takes the slots that a load report shows. Reports are late, so they say nothing of the load now.
@@ -589,8 +557,8 @@
 	}
 }
 
-// spendShare notes a landing against its customer's share and tells whether it goes beyond.
-func (d *Dispatcher) spendShare(c Customer) bool {
+// overShare notes a landing against its customer's share and tells whether it goes beyond.
+func (d *Dispatcher) overShare(c Customer) bool {
 	if int(c) >= len(d.quota) || d.quota[c] <= 0 {
 		return false
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -1,12 +1,12 @@
 package decide
 
 type operation struct {
-	objective, window, longest Time    // longest: the longest grace seen, a first try's
-	value, tardy, mean         float64 // mean: of the sizes landed
-	landed                     int
-	repeat                     Repeat
-	scope                      Scope
-	kind                       Kind
+	objective, window, longest, comeBack Time    // longest: the longest grace seen, a first try's
+	value, mean, density                 float64 // mean: of the sizes landed
+	landed                               int
+	repeat                               Repeat
+	scope                                Scope
+	kind                                 Kind
 }
 
 type forward struct {
@@ -42,7 +42,7 @@
 	zone                        Zone
 	share, coldFrom, multiple   float64
 	surplusShare, crossing      float64
-	margin, askWithin, comeBack Time
+	margin, askWithin           Time
 	ramp, span, patience        Time
 	forwardsMost                int
 	askForList, cancels, copies bool
@@ -71,7 +71,6 @@
 
 	slots, most []float64 // by Kind: slots believed, and the most seen at work
 	fleetPace   float64
-	slow        int     // how many workers are slower than the fleet
 	peerLoad    [][]int // by Peer and Worker
 	peerAt      []Time
 
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -168,13 +168,11 @@
 	h.instances[number] = in
 	return in.guard(func() error {
 		t, err := terms(f.Get("setup"))
-		if err == nil {
-			in.operations = len(t.Operations)
-			in.dispatcher, err = decide.New(t, f.GetUint64("nonce64"), in)
-		}
 		if err != nil {
 			return fmt.Errorf("setup: %w", err)
 		}
+		in.operations = len(t.Operations)
+		in.dispatcher = decide.New(t, f.GetUint64("nonce64"), in)
 		in.dispatcher.Clock(now)
 		return nil
 	})
--- a/internal/drill/terms.go
+++ b/internal/drill/terms.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 
 	"github.com/valyala/fastjson"
 
@@ -83,5 +84,29 @@
 	for _, c := range v.GetArray("orgs") {
 		t.Customers = append(t.Customers, decide.CustomerTerms{Quota: c.GetFloat64("quotaPerS")})
 	}
-	return t, nil
+	return t, check(v)
+}
+
+// check refuses settings that no dispatcher can work with, and names the field.
+func check(v *fastjson.Value) error {
+	if len(v.GetArray("operations")) == 0 {
+		return errors.New("operations: there must be at least one")
+	}
+	if n := v.GetInt("balancers"); n < 1 {
+		return fmt.Errorf("balancers: %d, must be at least 1", n)
+	}
+	for _, path := range [][]string{{"granularityS"}, {"policyLimits", "maxRetryAfterS"}, {"rules", "askWithinS"},
+		{"rules", "rampTimeS"}, {"rules", "drainGraceS"}, {"rules", "fallS"}, {"rules", "coldFrom"}} {
+		if s := v.GetFloat64(path...); s < 0 {
+			return fmt.Errorf("%s: %v, must not be negative", strings.Join(path, "."), s)
+		}
+	}
+	for n, o := range v.GetArray("operations") {
+		for _, key := range []string{"latencyObjectiveS", "clientTimeoutS", "dedupWindowS"} {
+			if s := o.GetFloat64(key); s < 0 {
+				return fmt.Errorf("operations[%d].%s: %v, must not be negative", n, key, s)
+			}
+		}
+	}
+	return nil
 }
