--- /dev/null
+++ b/decide/decide_test.go
@@ -0,0 +1,243 @@
+package decide
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestCutPointsGiveEqualWork(t *testing.T) {
+	d, _ := warmDispatcher(4, 1)
+	for n := range 60 {
+		d.takeHint(Work(1 + n*7%60))
+		if n < sampleLeast-1 {
+			assert.Empty(t, d.cuts, "one lane until there are enough hints")
+		}
+	}
+	d.cut()
+	small, all := Work(0), Work(0)
+	for _, s := range d.sample {
+		all += s
+		if s < d.cuts[0] {
+			small += s
+		}
+	}
+	assert.Len(t, d.cuts, lanes-1)
+	assert.InDelta(t, 0.5, float64(small)/float64(all), 0.04)
+}
+
+func TestSampleIsBounded(t *testing.T) {
+	d, _ := warmDispatcher(4, 1)
+	for range 3 * sampleMost {
+		d.takeHint(10)
+	}
+	for range sampleMost {
+		d.takeHint(500) // a shift to large jobs displaces all that was known
+	}
+	assert.Len(t, d.sample, sampleMost)
+	assert.EqualValues(t, 500, slices.Min(d.sample))
+}
+
+func TestBlocksAreAlikeAtEveryDispatcher(t *testing.T) {
+	a, _ := warmDispatcher(9, 1)
+	b, _ := warmDispatcher(9, 2)
+	var list []Entry
+	for w := 8; w >= 0; w-- {
+		list = append(list, Entry{Tgt: Worker(w), ID: fmt.Sprintf("w%d", w)})
+	}
+	b.Listed(list, true, true)
+	assert.Equal(t, a.ring, b.ring)
+	assert.NotEqual(t, a.turn, b.turn, "each rotation starts at a place of its own")
+}
+
+func TestRotationTakesTurnsWithinTheBlock(t *testing.T) {
+	d, _ := warmDispatcher(6, 1)
+	d.cuts = []Work{100}
+	small, large := map[Worker]int{}, map[Worker]int{}
+	for range 6 {
+		w, ok := d.choose(&invocation{lane: 0, timeout: 200 * Second})
+		assert.True(t, ok)
+		small[w]++
+		w, _ = d.choose(&invocation{lane: 1, timeout: 200 * Second})
+		large[w]++
+	}
+	for n, w := range d.ring {
+		assert.Equal(t, []int{2, 0}[n/3], small[w])
+		assert.Equal(t, []int{0, 2}[n/3], large[w])
+	}
+}
+
+func TestFullBlockBorrows(t *testing.T) {
+	d, _ := warmDispatcher(4, 1)
+	d.cuts = []Work{100}
+	d.waiting[d.ring[0]], d.waiting[d.ring[1]] = 1, 1
+	w, ok := d.choose(&invocation{lane: 0, timeout: 200 * Second})
+	assert.True(t, ok)
+	assert.Contains(t, d.ring[2:], w)
+}
+
+func TestOverTwiceTheMeanIsPassedOver(t *testing.T) {
+	d, _ := warmDispatcher(4, 1)
+	busy := d.ring[2]
+	d.own[busy] = 3
+	for range 8 {
+		w, ok := d.choose(&invocation{timeout: 200 * Second})
+		assert.True(t, ok)
+		assert.NotEqual(t, busy, w)
+	}
+}
+
+func TestSlowWorkerGetsOneTrialAtATime(t *testing.T) {
+	d, _ := warmDispatcher(4, 1)
+	i, slow := &invocation{timeout: 200 * Second}, d.ring[0]
+	for range 20 {
+		d.learnPace(slow, 500, 100, learn)
+		d.learnPace(d.ring[1], 100, 100, learn)
+	}
+	assert.True(t, d.usable(slow, i), "a trial when nothing is out there")
+	d.own[slow] = 1
+	assert.False(t, d.usable(slow, i))
+	d.own[d.ring[1]] = 1
+	assert.True(t, d.usable(d.ring[1], i))
+}
+
+func TestWhatMayBeDoneAfterEachOutcome(t *testing.T) {
+	unseen := []Outcome{Full, NoConnection, Moot}
+	perhaps := []Outcome{WorkerError, TimedOut, Reset, Cancelled}
+	check := func(op Operation, how Outcome, same, other, throttle bool) {
+		d, _ := warmDispatcher(4, 1)
+		d.Landed(0, Landing{Operation: op, Grace: 10 * Second, Hint: 100})
+		i := &d.invs[0]
+		d.forward(0, 0)
+		d.Ended(0, 0, how, false)
+		i.over = false // as if the module had not answered yet
+		assert.Equal(t, same, d.mayForward(i, 0), "operation %d outcome %d: same group", op, how)
+		assert.Equal(t, other, d.mayForward(i, 1), "operation %d outcome %d: other group", op, how)
+		assert.Equal(t, throttle, d.mayThrottle(i), "operation %d outcome %d: throttle", op, how)
+		d.now += 6 * Second
+		again := op == 0 || slices.Contains(unseen, how)
+		assert.Equal(t, again, d.mayForward(i, 0), "operation %d outcome %d: past the window", op, how)
+	}
+	for op := range Operation(len(someTerms.Operations)) {
+		for _, how := range unseen {
+			check(op, how, true, true, true)
+		}
+	}
+	for _, how := range perhaps {
+		check(0, how, true, true, true)
+		check(1, how, false, false, false)
+		check(2, how, true, false, false)
+		check(3, how, true, true, true)
+		check(4, how, true, false, false)
+	}
+}
+
+func TestForwardStillOutMayHaveRun(t *testing.T) {
+	d, _ := warmDispatcher(4, 1)
+	i := &invocation{op: 1, timeout: 200 * Second, out: 1, forwards: []forward{{tgt: 0, sent: d.now, out: true}}}
+	assert.False(t, d.mayForward(i, 1))
+	assert.False(t, d.mayThrottle(i))
+	i.op = 0
+	assert.True(t, d.mayForward(i, 1))
+	d.copies = false
+	assert.False(t, d.mayForward(i, 1), "second copies are not allowed")
+}
+
+func TestDrainingAndGoneWorkersGetNothing(t *testing.T) {
+	d, _ := warmDispatcher(2, 1)
+	d.Listed([]Entry{{Tgt: 0, ID: "w0", State: Draining}}, false, true)
+	assert.False(t, d.idle(0))
+	assert.True(t, d.idle(1))
+	d.Listed([]Entry{{Tgt: 0, ID: "w0"}}, true, true)
+	assert.True(t, d.idle(0), "a worker may come back")
+	assert.False(t, d.idle(1), "absent from a complete list")
+}
+
+func TestColdWorkerIsHeldToThisDispatchersShare(t *testing.T) {
+	d, _ := warmDispatcher(2, 1)
+	d.now += Second
+	d.Listed([]Entry{{Tgt: 0, ID: "w0", Born: d.now}}, false, true)
+	budget := 4 * 0.2 * 1 * float64(2*Second) / 2 * (1 - coldMargin) // one slot is known of
+	assert.True(t, d.withinCold(0, Work(budget)))
+	assert.False(t, d.withinCold(0, Work(budget)+1))
+	d.Landed(0, Landing{Grace: 10 * Second, Hint: Work(budget)})
+	d.forward(0, 0)
+	assert.False(t, d.withinCold(0, 1), "what was sent counts, whatever became of it")
+	d.now += 2 * Second
+	assert.True(t, d.withinCold(0, 1), "the span has passed")
+	assert.True(t, d.withinCold(1, 1<<40), "a warm worker has no such budget")
+}
+
+func TestFinalAnswerComesInTimeWithoutOutcome(t *testing.T) {
+	d, b := warmDispatcher(1, 1)
+	d.Landed(0, Landing{Operation: 1, Grace: Second / 100, Hint: 100}) // a late try of little grace
+	d.Settle()
+	assert.Equal(t, []string{"forward 0 to 0"}, b.lines)
+	d.Clock(min(d.wakeAt, d.now+Second/100))
+	d.Settle()
+	assert.Equal(t, []string{"forward 0 to 0", "error 0", "cancel 0.0"}, b.lines)
+	d.Ended(0, 0, Succeeded, true) // after the end: harmless
+	d.Left(0, -1)
+	d.Settle()
+	assert.Len(t, b.lines, 3)
+}
+
+func TestLateHeldWorkIsThrottledAtOnce(t *testing.T) {
+	d, b := warmDispatcher(1, 1)
+	d.waiting[0] = 1
+	d.Landed(0, Landing{Grace: 10 * Second, Hint: 100})
+	d.Landed(1, Landing{Operation: 1, Grace: 10 * Second, Hint: 100})
+	d.now += Second + 1
+	d.Settle()
+	assert.ElementsMatch(t, []string{"throttle 0 back 20000", "throttle 1 back 0"}, b.lines)
+}
+
+func TestHeldOrderIsByValueThenLatestStart(t *testing.T) {
+	d, _ := warmDispatcher(1, 1)
+	d.waiting[0] = 1
+	for inv, op := range []Operation{0, 0, 1} {
+		d.now += 10
+		d.Landed(Inv(inv), Landing{Operation: op, Grace: 10 * Second, Hint: 100})
+	}
+	d.invs[0].surplus = true
+	d.cut()
+	assert.Equal(t, []Inv{2, 1, 0}, d.held)
+}
+
+func TestUnstartedForwardMovesOn(t *testing.T) {
+	d, b := warmDispatcher(2, 1)
+	d.Landed(0, Landing{Grace: 10 * Second, Hint: 100})
+	d.Settle()
+	d.now += d.patience
+	d.Settle()
+	assert.Len(t, b.lines, 3)
+	assert.Equal(t, "cancel 0.0", b.lines[2])
+	assert.NotEqual(t, b.lines[0], b.lines[1])
+}
+
+func TestSilentPeersAreForgotten(t *testing.T) {
+	d, _ := warmDispatcher(2, 1)
+	d.Heard(1, []Load{{Tgt: 0, InFlight: 3}})
+	d.Heard(1, []Load{{Tgt: 0, InFlight: 2}})
+	assert.Equal(t, 2, d.load(0))
+	d.now += 4 * Second
+	d.refresh()
+	assert.Equal(t, 0, d.load(0))
+}
+
+func TestListIsAskedForWithBackoff(t *testing.T) {
+	d, b := warmDispatcher(1, 1)
+	d.askForList, d.subscribed = true, false
+	d.Settle()
+	d.Settle()
+	assert.Equal(t, []string{"subscribe"}, b.lines, "once, until an answer comes")
+	last := Time(0)
+	for range 4 {
+		d.ListFailed()
+		assert.Greater(t, d.askAt-d.now, last/2)
+		last = d.askAt - d.now
+		assert.Less(t, last, d.askWithin)
+	}
+}
