--- a/decide/decide.go
+++ b/decide/decide.go
@@ -480,6 +480,9 @@
 	}
 	if stuck {
 		d.fits(f.tgt, d.load(f.tgt), false)
+		if !d.peers { // nobody tells what others have there: it is taken to be full for about one run
+			d.trialAt[f.tgt] = d.now + Time(d.ops[i.op].mean)
+		}
 	}
 	if w, ok := d.choose(i); ok {
 		d.forward(inv, w)
