--- a/decide/decide.go
+++ b/decide/decide.go
@@ -108,9 +108,10 @@
 		if f.started == 0 {
 			f.started = f.sent
 		}
-		d.learnPace(w, float64(d.now-f.started), i.size, learn)
+		d.learnPace(w, float64(d.now-f.started), i.size)
 	case Full:
 		d.fits(w, d.load(w)+1, false)
+		d.trialAt[w] = d.now + Time(d.ops[i.op].mean) // until a slot comes free, or forwards are used up there
 	case NoConnection, Reset:
 		// A crash or a cut link: nothing more goes there until a trial, later each time.
 		d.fails[w]++
@@ -525,25 +526,22 @@
 
 // fits moves the slots believed toward what a start at once, or a wait, shows.
 func (d *Dispatcher) fits(w Worker, load int, atOnce bool) {
-	k := d.kind[w]
-	if d.warmth(w) < 1 {
-		return
-	}
-	if atOnce {
+	k, step := d.kind[w], learn*(float64(load)-d.slots[d.kind[w]])
+	switch {
+	case d.warmth(w) < 1: // it shows nothing of the others
+	case atOnce:
 		d.most[k] = max(d.most[k], float64(d.own[w]-d.waiting[w]))
-		d.slots[k] = max(d.slots[k], d.slots[k]+learn*(float64(load)-d.slots[k]))
-	} else {
-		d.slots[k] = max(d.most[k], min(d.slots[k], d.slots[k]+learn*(float64(load-1)-d.slots[k])))
+		d.slots[k] += max(step, 0)
+	default:
+		d.slots[k] = max(d.most[k], d.slots[k]+min(step-learn, 0))
 	}
 }
 
-func (d *Dispatcher) learnPace(w Worker, run float64, size Work, weight float64) {
-	if size <= 0 || d.warmth(w) < 1 {
-		return
+func (d *Dispatcher) learnPace(w Worker, run float64, size Work) {
+	if p := min(max(run/float64(max(size, 1)), d.fleetPace/4), d.fleetPace*4); d.warmth(w) == 1 {
+		d.pace[w] += learn * (p - d.pace[w])
+		d.fleetPace += learn / float64(len(d.ring)+1) * (p - d.fleetPace)
 	}
-	p := min(max(run/float64(size), d.fleetPace/4), d.fleetPace*4)
-	d.pace[w] += weight * (p - d.pace[w])
-	d.fleetPace += weight / float64(len(d.ring)+1) * (p - d.fleetPace)
 }
 
 // Reported takes the slots that a load report shows. Reports are late, so they say nothing of the load now.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -93,8 +93,8 @@
 	d, _ := warmDispatcher(4, 1)
 	i, slow := &invocation{timeout: 200 * Second}, d.ring[0]
 	for range 20 {
-		d.learnPace(slow, 500, 100, learn)
-		d.learnPace(d.ring[1], 100, 100, learn)
+		d.learnPace(slow, 500, 100)
+		d.learnPace(d.ring[1], 100, 100)
 	}
 	assert.True(t, d.usable(slow, i), "a trial when nothing is out there")
 	d.own[slow] = 1
