--- a/decide/decide.go
+++ b/decide/decide.go
@@ -19,7 +19,7 @@
 	lanes       = 2   // intervals of equal work, each with its own block
 	sampleMost  = 128 // own hints behind the cut points: older ones drop out
 	sampleLeast = 50  // hints before lanes are cut
-	passOver    = 2.0 // of the lane's mean in flight per worker
+	passOver    = 2.0 // of the mean in flight per worker in the lane, taken as half a job at the least
 	coldMargin  = 0.5 // of a cold worker's budget is kept back, as hints are rough
 	slowPace    = 1.8 // of the fleet's pace: a worker slower than this is suspect
 	learn       = 0.2 // weight of a new sample in a running figure
@@ -315,7 +315,7 @@
 	}
 	for k := range n {
 		w := d.ring[lo+(*turn+k)%n]
-		if near && d.workerZone[w] != d.zone || float64(d.own[w]) > passOver*max(mean, 1) {
+		if near && d.workerZone[w] != d.zone || float64(d.own[w]) > passOver*max(mean, 0.5) {
 			continue
 		}
 		if d.usable(w, i) && d.mayForward(i, w) {
