--- a/decide/decide.go
+++ b/decide/decide.go
@@ -21,7 +21,7 @@
 	sampleLeast = 50  // hints before lanes are cut
 	passOver    = 2.0 // of the mean in flight per worker in the lane, taken as half a job at the least
 	coldMargin  = 0.5 // of a cold worker's budget is kept back, as hints are rough
-	slowPace    = 1.8 // of the fleet's pace: a worker slower than this is suspect
+	slowPace    = 2.4 // of the fleet's pace: a worker slower than this is suspect
 	learn       = 0.2 // weight of a new sample in a running figure
 	slotsFirst  = 8.0 // slots believed before anything was refused or kept waiting
 )
