--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -90,11 +90,12 @@
 }
 
 func TestSlowWorkerGetsOneTrialAtATime(t *testing.T) {
-	d, _ := warmDispatcher(4, 1)
+	d, _ := warmDispatcher(8, 1)
 	i, slow := &invocation{timeout: 200 * Second}, d.ring[0]
 	for range 20 {
-		d.learnPace(slow, 500, 100)
-		d.learnPace(d.ring[1], 100, 100)
+		for _, w := range d.ring {
+			d.learnPace(w, map[bool]float64{true: 500, false: 100}[w == slow], 100)
+		}
 	}
 	assert.True(t, d.usable(slow, i), "a trial when nothing is out there")
 	d.own[slow] = 1
@@ -103,6 +104,14 @@
 	assert.True(t, d.usable(d.ring[1], i))
 }
 
+func TestWhatStrikesAllMakesNoneSuspect(t *testing.T) {
+	d, _ := warmDispatcher(8, 1)
+	for n := range 80 {
+		d.learnPace(d.ring[n%8], 500, 100)
+		assert.False(t, d.suspect(d.ring[n%8]))
+	}
+}
+
 func TestWhatMayBeDoneAfterEachOutcome(t *testing.T) {
 	unseen := []Outcome{Full, NoConnection, Moot}
 	perhaps := []Outcome{WorkerError, TimedOut, Reset, Cancelled}
