--- a/decide/decide.go
+++ b/decide/decide.go
@@ -21,7 +21,6 @@
 	sampleLeast = 50  // hints before lanes are cut
 	passOver    = 2.0 // of the mean in flight per worker in the lane, taken as half a job at the least
 	coldMargin  = 0.5 // of a cold worker's budget is kept back, as hints are rough
-	slowPace    = 2.4 // of the fleet's pace: a worker slower than this is suspect
 	learn       = 0.2 // weight of a new sample in a running figure
 	slotsFirst  = 8.0 // slots believed before anything was refused or kept waiting
 )
@@ -33,7 +32,7 @@
 		crossing: t.CrossCost, surplusShare: t.SurplusShare, margin: 2*t.Granularity + Second/1000,
 		askWithin: t.AskWithin, forwardsMost: t.ForwardsMost, askForList: t.AskForList,
 		cancels: t.MayCancel, copies: t.Copies, probes: t.Probes && t.ReportsOnProbe,
-		peers: t.Peers && t.Dispatchers > 1, startNotes: t.StartNotes, fleetPace: 1, patience: never,
+		peers: t.Peers && t.Dispatchers > 1, startNotes: t.StartNotes, patience: never,
 		atInFlight: t.ReportInFlight, atQueue: t.ReportQueue, atFree: t.ReportFree, wakeAt: never}
 	for n, o := range t.Operations {
 		d.ops = append(d.ops, operation{objective: o.Objective, window: o.Window, value: o.Value,
@@ -105,10 +104,6 @@
 	switch how {
 	case Succeeded:
 		d.fails[w] = 0
-		if f.started == 0 {
-			f.started = f.sent
-		}
-		d.learnPace(w, float64(d.now-f.started), i.size)
 	case Full:
 		d.fits(w, d.load(w)+1, false)
 		d.trialAt[w] = d.now + Time(d.ops[i.op].mean) // until a slot comes free, or forwards are used up there
@@ -164,7 +159,7 @@
 		h.Write([]byte(e.ID))
 		if e.Born > d.born[w] {
 			// A restart: what was known of the process is void, and it is cold.
-			d.born[w], d.pace[w], d.fails[w], d.trialAt[w] = e.Born, d.fleetPace, 0, 0
+			d.born[w], d.fails[w], d.trialAt[w] = e.Born, 0, 0
 		}
 		d.hash[w], d.workerZone[w], d.kind[w], d.cell[w], d.state[w] = h.Sum64(), e.Zone, e.Kind, e.Cell, e.State
 	}
@@ -329,8 +324,7 @@
 // usable tells whether a worker may take this invocation now.
 func (d *Dispatcher) usable(w Worker, i *invocation) bool {
 	kind := d.ops[i.op].kind
-	return d.idle(w) && (kind < 0 || kind == d.kind[w]) && (d.own[w] == 0 || !d.suspect(w)) &&
-		d.withinCold(w, i.size)
+	return d.idle(w) && (kind < 0 || kind == d.kind[w]) && d.withinCold(w, i.size)
 }
 
 // idle tells whether a worker is believed up and has a slot to spare.
@@ -361,10 +355,6 @@
 	return warmth == 1 || float64(sent) <= budget*(1-coldMargin)
 }
 
-// suspect tells of a worker far slower than the fleet. The fleet's pace is the mean of all, so a change that
-// strikes them all makes none suspect, and never can all be.
-func (d *Dispatcher) suspect(w Worker) bool { return d.pace[w] >= slowPace*d.fleetPace }
-
 // mayForward is the rule against double effects, for one more forward to w.
 func (d *Dispatcher) mayForward(i *invocation, w Worker) bool {
 	if i.over || d.now >= i.timeout || len(i.forwards) >= d.forwardsMost || i.out > 0 && !d.copies {
@@ -469,26 +459,23 @@
 	}
 }
 
-// rescue sends a second copy where a forward sits unstarted or crawls; the unstarted one is called off.
+// rescue moves a forward that sits unstarted, its worker being full after all, to one with room.
 func (d *Dispatcher) rescue(inv Inv) {
 	i := &d.invs[inv]
-	f := &i.forwards[len(i.forwards)-1]
-	stuck := d.startNotes && f.started == 0 && d.now-f.sent >= d.patience
-	from := max(f.started, f.sent)
-	crawls := !stuck && float64(d.now-from) > slowPace*d.fleetPace*float64(i.size) && d.suspect(f.tgt)
-	if !f.out || len(d.held) > 0 || d.now > i.latest || !(stuck || crawls) {
+	n := len(i.forwards) - 1
+	f := i.forwards[n]
+	if !f.out || f.started > 0 || !d.startNotes || d.now-f.sent < d.patience || len(d.held) > 0 ||
+		d.now > i.latest {
 		return
 	}
-	if stuck {
-		d.fits(f.tgt, d.load(f.tgt), false)
-		if !d.peers { // nobody tells what others have there: it is taken to be full for about one run
-			d.trialAt[f.tgt] = d.now + Time(d.ops[i.op].mean)
-		}
+	d.fits(f.tgt, d.load(f.tgt), false)
+	if !d.peers { // nobody tells what others have there: it is taken to be full for about one run
+		d.trialAt[f.tgt] = d.now + Time(d.ops[i.op].mean)
 	}
 	if w, ok := d.choose(i); ok {
 		d.forward(inv, w)
-		if stuck && d.cancels {
-			d.link.Cancel(inv, len(i.forwards)-2)
+		if d.cancels {
+			d.link.Cancel(inv, n)
 		}
 	}
 }
@@ -537,13 +524,6 @@
 	}
 }
 
-func (d *Dispatcher) learnPace(w Worker, run float64, size Work) {
-	if p := min(max(run/float64(max(size, 1)), d.fleetPace/4), d.fleetPace*4); d.warmth(w) == 1 {
-		d.pace[w] += learn * (p - d.pace[w])
-		d.fleetPace += learn / float64(len(d.ring)+1) * (p - d.fleetPace)
-	}
-}
-
 // Reported takes the slots that a load report shows. Reports are late, so they say nothing of the load now.
 func (d *Dispatcher) Reported(w Worker, r []float64) {
 	if d.atFree < 0 || d.atFree >= len(r) || d.warmth(w) < 1 {
@@ -572,8 +552,7 @@
 	d.hash, d.workerZone, d.kind = append(d.hash, 0), append(d.workerZone, 0), append(d.kind, 0)
 	d.cell, d.state, d.born = append(d.cell, 0), append(d.state, Gone), append(d.born, 0)
 	d.own, d.waiting, d.others = append(d.own, 0), append(d.waiting, 0), append(d.others, 0)
-	d.fails, d.pace, d.spent = append(d.fails, 0), append(d.pace, d.fleetPace), append(d.spent, nil)
-	d.trialAt = append(d.trialAt, 0)
+	d.fails, d.spent, d.trialAt = append(d.fails, 0), append(d.spent, nil), append(d.trialAt, 0)
 }
 
 // note remembers that peers are to be told of a worker.
--- a/decide/state.go
+++ b/decide/state.go
@@ -65,13 +65,11 @@
 	state                       []State
 	born, trialAt               []Time
 	own, waiting, others, fails []int
-	pace                        []float64 // running time over hint
 	spent                       [][]spend
 	ring                        []Worker // those listed, by hash
 
 	slots, most []float64 // by Kind: slots believed, and the most seen at work
-	fleetPace   float64
-	peerLoad    [][]int // by Peer and Worker
+	peerLoad    [][]int   // by Peer and Worker
 	peerAt      []Time
 
 	// Lanes.
