--- a/decide/decide.go
+++ b/decide/decide.go
@@ -21,6 +21,7 @@
 	sampleLeast = 50  // hints before lanes are cut
 	passOver    = 2.0 // of the mean in flight per worker in the lane, taken as half a job at the least
 	coldMargin  = 0.5 // of a cold worker's budget is kept back, as hints are rough
+	queued      = 1.5 // unstarted forwards a worker, by all dispatchers together
 	learn       = 0.2 // weight of a new sample in a running figure
 	slotsFirst  = 8.0 // slots believed before anything was refused or kept waiting
 )
@@ -87,6 +88,7 @@
 	if f := &d.invs[inv].forwards[n]; f.out && f.started == 0 {
 		f.started, d.room = d.now, true
 		d.waiting[f.tgt]--
+		d.unstarted--
 		d.fits(f.tgt, d.load(f.tgt), d.now-f.sent < d.patience)
 	}
 }
@@ -99,6 +101,7 @@
 	d.own[w]--
 	if f.started == 0 && d.startNotes {
 		d.waiting[w]--
+		d.unstarted--
 	}
 	d.note(w)
 	switch how {
@@ -397,10 +400,15 @@
 	return slices.ContainsFunc(d.ring, able)
 }
 
-// placeHeld sends what is held, in order, for as long as there is room.
+// placeHeld sends what is held, in order, while there is room. What waits in a worker's queue is out of
+// reach of that order, and many dispatchers would fill it: so each keeps to its share of the unstarted.
 func (d *Dispatcher) placeHeld() {
 	d.room = false
-	for n := 0; n < len(d.held) && n <= len(d.ring) && slices.ContainsFunc(d.ring, d.idle); n++ {
+	most := max(1, queued*d.share*float64(len(d.ring)))
+	for n := 0; n < min(len(d.held), len(d.ring)) && float64(d.unstarted) < most; n++ {
+		if !slices.ContainsFunc(d.ring, d.idle) {
+			return
+		}
 		if w, ok := d.choose(&d.invs[d.held[n]]); ok {
 			d.forward(d.held[n], w)
 			d.held = slices.Delete(d.held, n, n+1)
@@ -434,6 +442,7 @@
 	d.own[w]++
 	if d.startNotes {
 		d.waiting[w]++
+		d.unstarted++
 	}
 	past := func(s spend) bool { return s.at <= d.now-d.span }
 	d.spent[w] = append(slices.DeleteFunc(d.spent[w], past), spend{d.now, i.size})
@@ -443,15 +452,19 @@
 
 // sweep looks over all that is open and finds when to look again.
 func (d *Dispatcher) sweep() {
-	d.sweepAt, d.room = d.now+d.patience, true
+	d.sweepAt, d.room, d.unstarted = d.now+d.patience, true, 0
 	for n := len(d.open) - 1; n >= 0; n-- {
 		inv := d.open[n]
 		i := &d.invs[inv]
+		f := d.waits(i)
+		if f != nil && d.now-f.sent < Time(d.ops[i.op].mean) { // later it counts as lost, lest it stop the rest
+			d.unstarted++
+		}
 		switch {
 		case d.now >= i.timeout || i.out == 0 && d.now > i.latest:
 			d.giveUp(inv) // also where no outcome comes: the client still gets its final answer in time
-		case i.out == 1:
-			d.rescue(inv)
+		case f != nil && i.out == 1 && d.now-f.sent >= d.patience && len(d.held) == 0 && d.now <= i.latest:
+			d.rescue(inv, f)
 		}
 		if !i.over {
 			d.sweepAt = min(d.sweepAt, i.timeout)
@@ -459,15 +472,18 @@
 	}
 }
 
-// rescue moves a forward that sits unstarted, its worker being full after all, to one with room.
-func (d *Dispatcher) rescue(inv Inv) {
-	i := &d.invs[inv]
+// waits finds a last forward that has not started, where workers tell.
+func (d *Dispatcher) waits(i *invocation) *forward {
 	n := len(i.forwards) - 1
-	f := i.forwards[n]
-	if !f.out || f.started > 0 || !d.startNotes || d.now-f.sent < d.patience || len(d.held) > 0 ||
-		d.now > i.latest {
-		return
+	if d.startNotes && n >= 0 && i.forwards[n].out && i.forwards[n].started == 0 {
+		return &i.forwards[n]
 	}
+	return nil
+}
+
+// rescue moves a forward that sits unstarted, its worker being full after all, to one with room.
+func (d *Dispatcher) rescue(inv Inv, f *forward) {
+	i := &d.invs[inv]
 	d.fits(f.tgt, d.load(f.tgt), false)
 	if !d.peers { // nobody tells what others have there: it is taken to be full for about one run
 		d.trialAt[f.tgt] = d.now + Time(d.ops[i.op].mean)
@@ -475,7 +491,7 @@
 	if w, ok := d.choose(i); ok {
 		d.forward(inv, w)
 		if d.cancels {
-			d.link.Cancel(inv, n)
+			d.link.Cancel(inv, len(i.forwards)-2)
 		}
 	}
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -53,6 +53,7 @@
 	// What is open, and which of it waits for a worker.
 	invs          []invocation
 	open, held    []Inv
+	unstarted     int       // forwards that no worker has told to have started
 	waitingInTime bool      // something held can still be in time
 	used          []float64 // by Customer: landings not yet worn off by its quota
 	usedAt        []Time
