--- a/decide/state.go
+++ b/decide/state.go
@@ -51,12 +51,11 @@
 	quota                       []float64 // by Customer: landings a second here that count in full
 
 	// What is open, and which of it waits for a worker.
-	invs          []invocation
-	open, held    []Inv
-	unstarted     int       // forwards that no worker has told to have started
-	waitingInTime bool      // something held can still be in time
-	used          []float64 // by Customer: landings not yet worn off by its quota
-	usedAt        []Time
+	invs       []invocation
+	open, held []Inv
+	unstarted  int       // forwards that no worker has told to have started
+	used       []float64 // by Customer: landings not yet worn off by its quota
+	usedAt     []Time
 
 	// Figures about workers, by Worker.
 	hash                        []uint64
--- a/decide/types.go
+++ b/decide/types.go
@@ -66,13 +66,11 @@
 
 // OperationTerms are the terms of one operation.
 type OperationTerms struct {
-	Objective, ClientTimeout, Window Time
-	Stretch, Value, TardyShare       float64
-	Repeat                           Repeat
-	Scope                            Scope
-	Kind                             Kind // the one kind of worker that runs it, or -1
-	Priority                         int
-	Streamed                         bool
+	Objective, Window Time
+	Value, TardyShare float64
+	Repeat            Repeat
+	Scope             Scope
+	Kind              Kind // the one kind of worker that runs it, or -1
 }
 
 // CustomerTerms are the terms of one customer: its invocations a second that count in full.
@@ -80,34 +78,29 @@
 
 // Terms are what a dispatcher is told at its start. New derives its figures from them and keeps none.
 type Terms struct {
-	Dispatchers, Position, Kinds                    int
-	Zone                                            Zone
-	Zones                                           int
-	Operations                                      []OperationTerms
-	Customers                                       []CustomerTerms
-	Granularity, AskWithin, ComeBackMost, Ramp      Time
-	DrainGrace, FallSpan                            Time
-	AskForList                                      bool
-	MayCancel, Copies, Probes, Peers, ComeBack      bool
-	StartNotes                                      bool
-	Progress                                        Time
-	ForwardsMost, OpenMost                          int
-	ColdFrom, FallMultiple, SurplusShare, CrossCost float64
-	ProbeCost, PeerCost, WasteCost                  float64
-	ReportInFlight, ReportQueue, ReportFree         int // places in a load report, -1 where not reported
-	ReportsOnProbe                                  bool
+	Dispatchers, Kinds                        int
+	Zone                                      Zone
+	Operations                                []OperationTerms
+	Customers                                 []CustomerTerms
+	Granularity, AskWithin, ComeBackMost      Time
+	Ramp, FallSpan                            Time
+	ColdFrom, FallMultiple                    float64
+	SurplusShare, CrossCost                   float64
+	AskForList, MayCancel, Copies, ComeBack   bool
+	Probes, Peers, StartNotes, ReportsOnProbe bool
+	ForwardsMost                              int
+	ReportInFlight, ReportQueue, ReportFree   int // places in a load report, -1 where not reported
 }
 
 // Entry is a worker as a list names it.
 type Entry struct {
-	Tgt    Worker
-	ID     string
-	Zone   Zone
-	Kind   Kind
-	Cell   Cell
-	State  State
-	Born   Time // when it last started; 0 means long ago
-	Weight float64
+	Tgt   Worker
+	ID    string
+	Zone  Zone
+	Kind  Kind
+	Cell  Cell
+	State State
+	Born  Time // when it last started; 0 means long ago
 }
 
 // Landing is an invocation as it lands.
@@ -117,7 +110,6 @@
 	Grace     Time // until the client gives up this try
 	Hint      Work // 0 where there is none
 	Slots     float64
-	Repeat    bool
 }
 
 // Load is what one dispatcher has in flight at a worker.
