--- /dev/null
+++ b/decide/facade.go
@@ -0,0 +1,360 @@
+package decide
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// Verb is what a pick tells a client's goroutine to do.
+type Verb uint8
+
+const (
+	Send        Verb = iota + 1 // one forward to Tgt, under Ctx; it is to report as number N
+	AnswerFound                 // give the client the result of forward N
+	AnswerThrottled
+	AnswerErrored
+)
+
+// Choice is the answer to a pick.
+type Choice struct {
+	Do       Verb
+	Tgt      Worker
+	N        int
+	Ctx      context.Context // of a Send: ends when the forward is called off or the client's time is up
+	ComeBack Time            // of AnswerThrottled: how long the client should stay away, 0 for no advice
+}
+
+// ErrCalledOff is the cause of a forward's context that a decision has ended.
+var ErrCalledOff = errors.New("forward called off")
+
+// News for one peer of the load here.
+type News struct {
+	To    Peer
+	Loads []Load
+}
+
+// Facade lets goroutines that may block use one Dispatcher: they pick, report and tick. It serializes their
+// calls, keeps the numbers of invocations, and turns the answers of the rules into what a pick returns.
+type Facade struct {
+	mu    sync.Mutex
+	d     *Dispatcher
+	clock func() Time
+	log   func(string)
+
+	tickets []*Ticket
+	free    []Inv
+	open    int
+	endBy   Time // no answer is possible later; never, but for a dispatcher that ends
+
+	wakeKey uint64
+	wakeAt  Time
+	rewake  chan struct{}
+	ask     chan struct{}
+	probe   chan Worker
+	news    []News
+	tell    chan struct{}
+}
+
+// Ticket is one invocation that has landed.
+type Ticket struct {
+	f        *Facade
+	inv      Inv
+	until    time.Time
+	choices  []Choice
+	ready    chan struct{}
+	cancels  []context.CancelCauseFunc
+	reported []bool
+	out      int
+	over     bool
+}
+
+// NewFacade makes a dispatcher; log takes its remarks.
+func NewFacade(t Terms, seed uint64, clock func() Time, log func(string)) *Facade {
+	f := &Facade{clock: clock, log: log, wakeAt: never, endBy: never, rewake: make(chan struct{}, 1),
+		ask: make(chan struct{}, 1), probe: make(chan Worker, 64), tell: make(chan struct{}, 1)}
+	f.d = New(t, seed, link{f})
+	return f
+}
+
+// with makes one call under the lock, and goes through the rules.
+func (f *Facade) with(call func(*Dispatcher)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.d.Clock(f.clock())
+	call(f.d)
+	f.d.Settle()
+}
+
+// Land takes an invocation in. Its holder has to Pick until an answer comes.
+func (f *Facade) Land(l Landing) *Ticket {
+	t := &Ticket{f: f, ready: make(chan struct{}, 1), until: time.Now().Add(l.Grace.Duration())}
+	f.with(func(d *Dispatcher) {
+		if n := len(f.free); n > 0 {
+			t.inv, f.free = f.free[n-1], f.free[:n-1]
+			f.tickets[t.inv] = t
+		} else {
+			t.inv = Inv(len(f.tickets))
+			f.tickets = append(f.tickets, t)
+		}
+		f.open++
+		l.Grace = min(l.Grace, f.endBy-d.now)
+		d.Landed(t.inv, l)
+	})
+	return t
+}
+
+// Pick blocks until the next choice for the invocation. When ctx ends first the client has left.
+func (t *Ticket) Pick(ctx context.Context) (Choice, error) {
+	for {
+		if c, ok := t.next(); ok {
+			return c, nil
+		}
+		select {
+		case <-t.ready:
+		case <-ctx.Done():
+			t.f.with(func(d *Dispatcher) {
+				if !t.over {
+					t.over = true
+					d.Left(t.inv, -1)
+				}
+				for _, c := range t.choices { // nobody will send these any more
+					if c.Do == Send {
+						t.ended(c.N, Moot)
+					}
+				}
+				t.choices = nil
+				t.release()
+			})
+			return Choice{}, context.Cause(ctx)
+		}
+	}
+}
+
+func (t *Ticket) next() (Choice, bool) {
+	t.f.mu.Lock()
+	defer t.f.mu.Unlock()
+	if len(t.choices) == 0 {
+		return Choice{}, false
+	}
+	c := t.choices[0]
+	t.choices = t.choices[1:]
+	if c.Do != Send {
+		t.release()
+	}
+	return c, true
+}
+
+// ReportStart tells that the worker has begun forward n.
+func (t *Ticket) ReportStart(n int) {
+	t.f.with(func(d *Dispatcher) {
+		if !t.reported[n] {
+			d.Started(t.inv, n)
+		}
+	})
+}
+
+// Report tells how forward n ended, once. It returns whether the result of this one is the client's answer.
+func (t *Ticket) Report(n int, how Outcome) (answers bool) {
+	t.f.with(func(d *Dispatcher) {
+		if t.reported[n] {
+			return
+		}
+		if answers = how == Succeeded && !t.over; answers {
+			t.finish(Choice{Do: AnswerFound, N: n})
+		}
+		t.ended(n, how)
+		t.release()
+	})
+	return answers
+}
+
+func (t *Ticket) ended(n int, how Outcome) {
+	t.reported[n] = true
+	t.out--
+	t.cancels[n](nil)
+	t.f.d.Ended(t.inv, n, how, t.over)
+}
+
+func (t *Ticket) finish(c Choice) {
+	t.over = true
+	t.push(c)
+}
+
+func (t *Ticket) push(c Choice) {
+	t.choices = append(t.choices, c)
+	signal(t.ready)
+}
+
+// release frees the invocation's number once it is over and every forward has reported.
+func (t *Ticket) release() {
+	if t.over && t.out == 0 && t.f.tickets[t.inv] == t {
+		t.f.tickets[t.inv] = nil
+		t.f.free = append(t.f.free, t.inv)
+		t.f.open--
+	}
+}
+
+// Tick blocks until ctx ends, and goes through the rules whenever one comes due by time alone.
+func (f *Facade) Tick(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		f.mu.Lock()
+		at, key := f.wakeAt, f.wakeKey
+		f.mu.Unlock()
+		wait := time.Hour
+		if at != never {
+			wait = max((at - f.clock()).Duration(), 0)
+		}
+		timer.Reset(wait)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-f.rewake:
+		case <-timer.C:
+			f.with(func(d *Dispatcher) {
+				if f.wakeAt == at && at <= d.now {
+					f.wakeAt = never
+					d.Woke(key)
+				}
+			})
+		}
+	}
+}
+
+// Open is the number of invocations that are not over, or have forwards out.
+func (f *Facade) Open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.open
+}
+
+// EndBy tells that no answer is possible after a span from now: this process ends then.
+func (f *Facade) EndBy(within Time) {
+	f.with(func(d *Dispatcher) {
+		f.endBy = min(f.endBy, d.now+within)
+		for _, inv := range d.open {
+			d.invs[inv].timeout = min(d.invs[inv].timeout, f.endBy-d.margin)
+			d.sweepAt = min(d.sweepAt, d.invs[inv].timeout)
+		}
+	})
+}
+
+// PickWatch blocks until the list should be asked for.
+func (f *Facade) PickWatch(ctx context.Context) error {
+	select {
+	case <-f.ask:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// PickProbe blocks until a worker should be probed.
+func (f *Facade) PickProbe(ctx context.Context) (Worker, error) {
+	select {
+	case w := <-f.probe:
+		return w, nil
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+// PickNews blocks until peers should be told something.
+func (f *Facade) PickNews(ctx context.Context) ([]News, error) {
+	for {
+		f.mu.Lock()
+		news := f.news
+		f.news = nil
+		f.mu.Unlock()
+		if len(news) > 0 {
+			return news, nil
+		}
+		select {
+		case <-f.tell:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// ReportList takes a list or changes to it; known is the one that the dispatcher starts with.
+func (f *Facade) ReportList(entries []Entry, whole, known bool) {
+	f.with(func(d *Dispatcher) { d.Listed(entries, whole, !known) })
+}
+
+// ReportListLost tells that the list could not be had, or is no longer followed.
+func (f *Facade) ReportListLost() { f.with((*Dispatcher).ListFailed) }
+
+// ReportPeer takes what a peer tells of a worker.
+func (f *Facade) ReportPeer(from Peer, l Load) { f.with(func(d *Dispatcher) { d.Heard(from, l) }) }
+
+// ReportLoad takes a worker's load report.
+func (f *Facade) ReportLoad(w Worker, values []float64) {
+	f.with(func(d *Dispatcher) { d.Reported(w, values) })
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// link takes the rules' answers. Its methods run under the facade's lock.
+type link struct{ f *Facade }
+
+func (l link) Forward(inv Inv, tgt Worker, within Time) {
+	t := l.f.tickets[inv]
+	until := t.until
+	if within > 0 {
+		if w := time.Now().Add(within.Duration()); w.Before(until) {
+			until = w
+		}
+	}
+	timed, stop := context.WithDeadline(context.Background(), until)
+	ctx, cancel := context.WithCancelCause(timed)
+	t.cancels = append(t.cancels, func(cause error) { cancel(cause); stop() })
+	t.reported = append(t.reported, false)
+	t.out++
+	t.push(Choice{Do: Send, Tgt: tgt, N: len(t.cancels) - 1, Ctx: ctx})
+}
+
+func (l link) Cancel(inv Inv, n int) {
+	if t := l.f.tickets[inv]; t != nil {
+		t.cancels[n](ErrCalledOff)
+	}
+}
+
+func (l link) Throttle(inv Inv, comeBack Time) {
+	l.f.tickets[inv].finish(Choice{Do: AnswerThrottled, ComeBack: comeBack})
+}
+
+func (l link) Error(inv Inv) { l.f.tickets[inv].finish(Choice{Do: AnswerErrored}) }
+
+func (l link) Wake(key uint64, after Time) {
+	l.f.wakeKey, l.f.wakeAt = key, l.f.d.now+after
+	signal(l.f.rewake)
+}
+
+func (l link) Subscribe()      { signal(l.f.ask) }
+func (l link) Log(line string) { l.f.log(line) }
+func (l link) Probe(tgt Worker) {
+	select {
+	case l.f.probe <- tgt:
+	default: // probes are behind already: this one would tell nothing new
+	}
+}
+
+func (l link) Tell(to Peer, load Load) {
+	for n := range l.f.news {
+		if l.f.news[n].To == to {
+			l.f.news[n].Loads = append(l.f.news[n].Loads, load)
+			return
+		}
+	}
+	l.f.news = append(l.f.news, News{to, []Load{load}})
+	signal(l.f.tell)
+}
--- a/decide/types.go
+++ b/decide/types.go
@@ -2,6 +2,8 @@
 // the methods of Dispatcher that are called with what has happened, and Link, which it answers through.
 package decide
 
+import "time"
+
 // Time is a moment or a span in whole tenths of a millisecond. Work is core time in the same unit.
 type (
 	Time int64
@@ -135,3 +137,6 @@
 	Tell(to Peer, l Load)
 	Log(line string)
 }
+
+// Duration is the span for the standard library.
+func (t Time) Duration() time.Duration { return time.Duration(t) * (time.Second / Second) }
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fastjson"
 
 	"canvasroute/decide"
+	"canvasroute/internal/terms"
 )
 
 // instance is one dispatcher with its own names for what the wire calls by text.
@@ -116,7 +117,7 @@
 		}
 		o.Visit(func(key []byte, fields *fastjson.Value) {
 			if err == nil {
-				if err = h.event(key, fields, clock(now)); err != nil {
+				if err = h.event(key, fields, terms.Clock(now)); err != nil {
 					err = fmt.Errorf("event %d, %s: %w", n, key, err)
 				}
 			}
@@ -171,7 +172,7 @@
 		workers: map[string]decide.Worker{}, tagged: map[uint16]decide.Worker{}, invs: map[string]decide.Inv{}}
 	h.instances[number] = in
 	return in.guard(func() error {
-		t, err := terms(f.Get("setup"))
+		t, err := terms.Parse(f.Get("setup"))
 		if err != nil {
 			return fmt.Errorf("setup: %w", err)
 		}
@@ -255,8 +256,8 @@
 	in.dispatcher.Landed(inv, decide.Landing{
 		Operation: decide.Operation(f.GetInt("band")),
 		Customer:  decide.Customer(f.GetInt("project")),
-		Grace:     span(f.GetFloat64("graceS")),
-		Hint:      decide.Work(span(f.GetFloat64("costGuessS"))),
+		Grace:     terms.Span(f.GetFloat64("graceS")),
+		Hint:      decide.Work(terms.Span(f.GetFloat64("costGuessS"))),
 		Slots:     f.GetFloat64("coresNeeded"),
 	})
 	return nil
--- a/internal/drill/fleet.go
+++ b/internal/drill/fleet.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fastjson"
 
 	"canvasroute/decide"
+	"canvasroute/internal/terms"
 )
 
 // entry is a line of a list, before an instance has given the worker a number of its own.
@@ -33,7 +34,7 @@
 		}
 		list = append(list, entry{name, decide.Entry{
 			ID: name, Zone: decide.Zone(v.GetInt("dc")), Kind: decide.Kind(v.GetInt("shape")),
-			Cell: decide.Cell(v.GetInt("pod")), State: state, Born: clock(v.GetFloat64("bornS")),
+			Cell: decide.Cell(v.GetInt("pod")), State: state, Born: terms.Clock(v.GetFloat64("bornS")),
 		}})
 	}
 	h.lists[f.GetInt("rosterId")] = list
--- a/internal/drill/peers.go
+++ b/internal/drill/peers.go
@@ -10,12 +10,7 @@
 )
 
 // A message to peers holds three bytes a worker: the tag of its name, and how many forwards are out there.
-// One of up to messageLeast bytes has the same price, as measured; a full one takes messageMost.
-const (
-	loadBytes    = 3
-	messageLeast = 16
-	messageMost  = 256
-)
+const loadBytes = 3
 
 // tag shortens a worker's name. Two that share a tag are told apart by nobody: the first one known is meant.
 func tag(name string) uint16 {
--- a/internal/drill/reply.go
+++ b/internal/drill/reply.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"math"
 	"strconv"
 
 	"github.com/valyala/fastjson"
@@ -10,11 +9,6 @@
 	"canvasroute/decide"
 )
 
-func clock(s float64) decide.Time { return decide.Time(math.Round(s * decide.Second)) }
-
-// span rounds down, so that nothing is believed to last longer than it does.
-func span(s float64) decide.Time { return decide.Time(math.Floor(s*decide.Second + 1e-6)) }
-
 // numbers reads a load report; one that does not hold all its values is none.
 func (in *instance) numbers(v *fastjson.Value) []float64 {
 	in.row = in.row[:0]
--- /dev/null
+++ b/internal/program/placement.go
@@ -0,0 +1,238 @@
+// Package program starts a dispatcher, keeps it running and ends it. The one place where its configuration is
+// read, checked and defaulted is this file; the settings within it are read by package terms.
+package program
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"canvasroute/decide"
+	"canvasroute/internal/protocol"
+	"canvasroute/internal/routing"
+	"canvasroute/internal/terms"
+)
+
+// Where nothing is said.
+const (
+	usualCores    = 1.0
+	usualMemoryMB = 192
+	usualSockets  = 1024
+	usualIdle     = 10 * time.Second
+	usualDial     = 250 * time.Millisecond
+	usualAsk      = 10 * time.Second
+	usualTimeout  = 30 * time.Second
+	leastSockets  = 64
+	leastMemoryMB = 16
+)
+
+// Placement is where a dispatcher stands: its addresses, its limits and its neighbours.
+type Placement struct {
+	Name, Listen, PeerListen string
+	Seed                     uint64
+	Cores                    float64
+	MemoryMB, Sockets        int
+	Idle                     time.Duration // how long a worker lets a connection stand idle
+	Longest                  time.Duration // the longest client timeout
+	Decisions                decide.Terms
+	Routing                  routing.Terms
+}
+
+// Read takes the configuration from the file that LB_CONFIG names. What the environment says by itself, name
+// and addresses, goes before the file.
+func Read(getenv func(string) string) (*Placement, error) {
+	path := getenv("LB_CONFIG")
+	if path == "" {
+		return nil, errors.New("LB_CONFIG: not set; it names the configuration file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	p, err := parse(text, getenv)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return p, nil
+}
+
+func parse(text []byte, getenv func(string) string) (*Placement, error) {
+	v, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return nil, fmt.Errorf("not JSON: %w", err)
+	}
+	if v.Type() != fastjson.TypeObject {
+		return nil, errors.New("not a JSON object")
+	}
+	settings := v.Get("settings")
+	p := &Placement{}
+	if p.Decisions, err = terms.Parse(settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	r := reader{v: v, getenv: getenv}
+	p.Name = r.text("LB_NAME", "name")
+	p.Listen = r.address("LB_LISTEN", "listen").String()
+	p.Routing.Discovery = r.address("LB_DISCOVERY", "discovery").String()
+	p.Seed = r.seed()
+	p.Cores = r.number(usualCores, 0.01, 4096, "limits", "cores")
+	p.MemoryMB = int(r.number(usualMemoryMB, leastMemoryMB, 1<<24, "limits", "memory_mb"))
+	p.Sockets = int(r.number(usualSockets, leastSockets, 1<<24, "limits", "sockets"))
+	p.Idle = r.span(usualIdle, "settings", "policyLimits", "connIdleS")
+	r.peers(p)
+	r.known(p)
+	r.routing(p)
+	return p, r.err
+}
+
+// reader takes values out of the configuration, and keeps the first thing that is wrong with it.
+type reader struct {
+	v      *fastjson.Value
+	getenv func(string) string
+	err    error
+}
+
+func (r *reader) wrong(key, format string, args ...any) {
+	if r.err == nil {
+		r.err = fmt.Errorf("%s: "+format, append([]any{key}, args...)...)
+	}
+}
+
+func dotted(path []string) (key string) {
+	for n, part := range path {
+		if n > 0 {
+			key += "."
+		}
+		key += part
+	}
+	return key
+}
+
+// text is a text that must be there, in the environment or in the file.
+func (r *reader) text(variable, key string) string {
+	if s := r.getenv(variable); variable != "" && s != "" {
+		return s
+	}
+	field := r.v.Get(key)
+	if field == nil || field.Type() != fastjson.TypeString || len(field.GetStringBytes()) == 0 {
+		r.wrong(key, "must be a text")
+		return ""
+	}
+	return string(field.GetStringBytes())
+}
+
+func (r *reader) address(variable, key string) netip.AddrPort {
+	s := r.text(variable, key)
+	a, err := netip.ParseAddrPort(s)
+	if err != nil && r.err == nil {
+		if variable != "" && r.getenv(variable) != "" {
+			key = variable
+		}
+		r.wrong(key, "%q is not an address with a port", s)
+	}
+	return a
+}
+
+func (r *reader) number(usual, least, most float64, path ...string) float64 {
+	field := r.v.Get(path...)
+	if field == nil {
+		return usual
+	}
+	n, err := field.Float64()
+	if err != nil || !(n >= least && n <= most) {
+		r.wrong(dotted(path), "%s, must be a number from %v to %v", field, least, most)
+		return usual
+	}
+	return n
+}
+
+// span is a time in seconds; 0 counts as not said.
+func (r *reader) span(usual time.Duration, path ...string) time.Duration {
+	s := r.number(usual.Seconds(), 0, math.MaxInt32, path...)
+	if s == 0 {
+		return usual
+	}
+	return time.Duration(s * float64(time.Second))
+}
+
+func (r *reader) seed() uint64 {
+	s := r.text("", "seed")
+	n, err := strconv.ParseUint(s, 16, 64)
+	if err != nil {
+		r.wrong("seed", "%q, must be up to 16 hex digits", s)
+	}
+	return n
+}
+
+func (r *reader) peers(p *Placement) {
+	if !p.Decisions.Peers {
+		return
+	}
+	p.PeerListen = r.address("", "peer_listen").String()
+	for n, v := range r.v.GetArray("peers") {
+		a, err := netip.ParseAddrPort(string(v.GetStringBytes()))
+		if err != nil {
+			r.wrong(fmt.Sprintf("peers[%d]", n), "%s is not an address with a port", v)
+		}
+		p.Routing.Peers = append(p.Routing.Peers, a)
+	}
+	if n := len(p.Routing.Peers); n != p.Decisions.Dispatchers {
+		r.wrong("peers", "%d addresses for settings.balancers %d", n, p.Decisions.Dispatchers)
+	}
+}
+
+func (r *reader) known(p *Placement) {
+	v := r.v.Get("known")
+	if v == nil || v.Type() == fastjson.TypeNull {
+		return
+	}
+	l, err := protocol.ParseList(v.MarshalTo(nil))
+	if err != nil {
+		r.wrong("known", "%v", err)
+		return
+	}
+	p.Routing.Known = &l
+}
+
+func (r *reader) routing(p *Placement) {
+	t, settings := &p.Routing, r.v.Get("settings")
+	t.Position = p.Decisions.Position
+	t.DialWithin = r.span(usualDial, "settings", "policyLimits", "dialTimeoutS")
+	t.AskWithin = r.span(usualAsk, "settings", "rules", "askWithinS")
+	for n, o := range settings.GetArray("operations") {
+		op := routing.Operation{Name: string(o.GetStringBytes("name")), Timeout: usualTimeout}
+		if s := o.GetFloat64("clientTimeoutS"); s > 0 {
+			op.Timeout = time.Duration(s * float64(time.Second))
+		}
+		if op.Name == "" {
+			r.wrong(fmt.Sprintf("settings.operations[%d].name", n), "must be a text")
+		}
+		t.Operations = append(t.Operations, op)
+		p.Longest = max(p.Longest, op.Timeout)
+	}
+	for n, o := range settings.GetArray("orgs") {
+		name := string(o.GetStringBytes("name"))
+		if name == "" {
+			r.wrong(fmt.Sprintf("settings.orgs[%d].name", n), "must be a text")
+		}
+		t.Owners = append(t.Owners, name)
+	}
+	t.Zones = r.names("settings", "zones")
+	t.Kinds = r.names("settings", "shapes")
+	t.Report = r.names("settings", "report", "names")
+}
+
+func (r *reader) names(path ...string) (names []string) {
+	for n, v := range r.v.GetArray(path...) {
+		if v.Type() != fastjson.TypeString {
+			r.wrong(fmt.Sprintf("%s[%d]", dotted(path), n), "must be a text")
+		}
+		names = append(names, string(v.GetStringBytes()))
+	}
+	return names
+}
--- /dev/null
+++ b/internal/program/program.go
@@ -0,0 +1,133 @@
+package program
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"canvasroute/decide"
+	"canvasroute/internal/routing"
+	"canvasroute/internal/transport"
+)
+
+// Shares of the limits.
+const (
+	memoryShare  = 0.75 // of the memory limit is the collector's; the rest is stacks, buffers in use and files
+	clientShare  = 0.5  // of the descriptors go to clients
+	spareShare   = 0.125
+	ownSockets   = 24 // listener, datagrams, the list, standard streams, the poller, and some in passing
+	acceptFor    = 500 * time.Millisecond
+	longestDrain = 3 * time.Second
+)
+
+// Main runs a dispatcher and returns the code that the process exits with.
+func Main() int {
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	p, err := Read(os.Getenv)
+	if err != nil {
+		log.Error().Err(err).Msg("bad configuration")
+		return 2
+	}
+	if err := Run(p, log.With().Str("name", p.Name).Logger()); err != nil {
+		log.Error().Err(err).Msg("ended by a fault")
+		return 1
+	}
+	return 0
+}
+
+// Run serves until it is told to end, and then answers all that it has taken.
+func Run(p *Placement, log zerolog.Logger) error {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Cores))))
+	debug.SetMemoryLimit(int64(float64(p.MemoryMB) * (1 << 20) * memoryShare))
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	defer signal.Stop(signals)
+
+	start := time.Now()
+	base := decide.Time(start.UnixMicro() / 100)
+	clock := func() decide.Time { return base + decide.Time(time.Since(start)/(time.Second/decide.Second)) }
+	p.Routing.FromUnix = func(ms float64) decide.Time { return decide.Time(ms * 10) }
+	facade := decide.NewFacade(p.Decisions, p.Seed, clock, func(line string) { log.Warn().Msg(line) })
+
+	room := p.Sockets - ownSockets
+	clients := int(float64(room) * clientShare)
+	workers := room - clients - int(float64(clients)*spareShare) - 1
+	pool := transport.NewPool(workers, p.Idle, log)
+	datagrams, err := peerSocket(p)
+	if err != nil {
+		return err
+	}
+	router := routing.New(p.Routing, facade, pool, datagrams, log)
+	server, err := transport.Listen(p.Listen, clients, router, log)
+	if err != nil {
+		return err
+	}
+	log.Info().Str("listen", p.Listen).Int("clients", clients).Int("workers", workers).Msg("started")
+
+	// Lifetimes: accepting ends first, then the connections of clients, then what forwards need.
+	accepting, stopAccepting := context.WithCancel(context.Background())
+	working, stopWorking := context.WithCancel(context.Background())
+	defer stopAccepting()
+	defer stopWorking()
+	g, failed := errgroup.WithContext(context.Background())
+	g.Go(func() error {
+		defer stopWorking()
+		return server.Run(accepting)
+	})
+	g.Go(func() error { return router.Run(working) })
+	g.Go(func() error { return pool.Run(working) })
+	g.Go(func() error { return attend(signals, failed, working, p, server, router, stopAccepting, log) })
+	err = g.Wait()
+	router.Print("exit")
+	return err
+}
+
+func peerSocket(p *Placement) (*transport.Datagrams, error) {
+	if !p.Decisions.Peers {
+		return nil, nil
+	}
+	addr, err := netip.ParseAddrPort(p.PeerListen)
+	if err != nil {
+		return nil, fmt.Errorf("peer_listen: %w", err)
+	}
+	return transport.ListenDatagrams(addr)
+}
+
+// attend answers signals: counters on SIGUSR1, and the drain on SIGTERM or SIGINT.
+func attend(signals <-chan os.Signal, failed, working context.Context, p *Placement, server *transport.Server,
+	router *routing.Router, stopAccepting func(), log zerolog.Logger) error {
+	for {
+		select {
+		case <-working.Done():
+			return nil
+		case <-failed.Done():
+			stopAccepting()
+			return nil
+		case s := <-signals:
+			if s == syscall.SIGUSR1 {
+				router.Print("asked")
+				continue
+			}
+			log.Info().Str("signal", s.String()).Msg("draining")
+			router.Drain(min(p.Longest, longestDrain))
+			server.Closing()
+			select { // clients go on coming for a while
+			case <-time.After(acceptFor):
+			case <-failed.Done():
+			}
+			stopAccepting()
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/protocol/invocation.go
@@ -0,0 +1,118 @@
+package protocol
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Invocation is what a client hands in.
+type Invocation struct {
+	Method, Target   string
+	ID               string
+	Operation, Owner string // names
+	Timeout          time.Duration
+	Hint             time.Duration // 0 where there is none
+	Slots            float64       // 0 where not told
+	Body             []byte
+
+	passed []field // goes on to workers unchanged
+}
+
+// passedOn are the further fields that workers may make use of.
+var passedOn = []struct{ name, as string }{
+	{fieldDedup, "Idempotency-Key"}, {"content-type", "Content-Type"},
+}
+
+// ParseInvocation reads an invocation's head. The error says what is malformed.
+func ParseInvocation(h *Head) (*Invocation, error) {
+	inv := &Invocation{Method: h.Method, Target: h.Target, ID: h.Field(fieldID), Operation: h.Field(fieldKind),
+		Owner: h.Field(fieldOwner)}
+	if inv.ID == "" || len(inv.ID) > 256 {
+		return nil, fmt.Errorf("%w: no Req-Id, or a long one", ErrMalformed)
+	}
+	for _, name := range []string{fieldID, fieldKind, fieldDeadline, fieldDedup} {
+		if len(h.all(name)) > 1 {
+			return nil, fmt.Errorf("%w: %s twice", ErrMalformed, name)
+		}
+	}
+	if v := h.Field(fieldDeadline); v != "" {
+		s, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(s > 0 && s < math.MaxInt32) {
+			return nil, fmt.Errorf("%w: Req-Deadline %.40q", ErrMalformed, v)
+		}
+		inv.Timeout = time.Duration(s * float64(time.Second))
+	}
+	if v := h.Field(fieldCost); v != "" {
+		us, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(us >= 0 && us < math.MaxInt32*1e6) {
+			return nil, fmt.Errorf("%w: Req-Cost %.40q", ErrMalformed, v)
+		}
+		inv.Hint = time.Duration(us * float64(time.Microsecond))
+	}
+	for pair := range strings.SplitSeq(h.Field(fieldExtra), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		if name != "slots" {
+			continue
+		}
+		s, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(s >= 0 && s < math.MaxInt32) {
+			return nil, fmt.Errorf("%w: Req-Extra %.40q", ErrMalformed, pair)
+		}
+		inv.Slots = s
+	}
+	for _, p := range passedOn {
+		if v := h.Field(p.name); v != "" {
+			inv.passed = append(inv.passed, field{p.as, v})
+		}
+	}
+	return inv, nil
+}
+
+// Answer is what a client gets.
+type Answer struct {
+	Status   int
+	ComeBack time.Duration // of a throttled one: how long to stay away, 0 for no advice
+	Allow    string        // of a wrong method: the right ones
+	Body     []byte
+}
+
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	408: "Request Timeout", 413: "Content Too Large", 429: "Too Many Requests", 502: "Bad Gateway",
+	431: "Request Header Fields Too Large", 503: "Service Unavailable"}
+
+// AppendAnswerHead writes an answer's head, for a connection that goes on or is closed after it.
+func AppendAnswerHead(b []byte, a *Answer, closes bool) []byte {
+	b = strconv.AppendInt(append(b, "HTTP/1.1 "...), int64(a.Status), 10)
+	b = append(append(b, ' '), reasons[a.Status]...)
+	b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), int64(len(a.Body)), 10)
+	if a.ComeBack > 0 {
+		b = strconv.AppendFloat(append(b, "\r\nRetry-After: "...), a.ComeBack.Seconds(), 'f', -1, 64)
+	}
+	if a.Allow != "" {
+		b = append(append(b, "\r\nAllow: "...), a.Allow...)
+	}
+	if closes {
+		b = append(b, "\r\nConnection: close"...)
+	}
+	return append(b, "\r\n\r\n"...)
+}
+
+// Continue asks a client that waits with its body to send it.
+const Continue = "HTTP/1.1 100 Continue\r\n\r\n"
+
+// Refusal is the answer to what cannot be read.
+func Refusal(err error) *Answer {
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		return &Answer{Status: 413}
+	case errors.Is(err, ErrHeadTooLarge):
+		return &Answer{Status: 431}
+	case errors.Is(err, ErrMalformed):
+		return &Answer{Status: 400}
+	}
+	return &Answer{Status: 408} // it did not come in time
+}
--- /dev/null
+++ b/internal/protocol/list.go
@@ -0,0 +1,85 @@
+package protocol
+
+import (
+	"fmt"
+	"strconv"
+)
+
+// List is a list of workers, or changes to one.
+type List struct {
+	Version int64
+	Whole   bool
+	Entries []Entry
+}
+
+// Entry is one worker in a list.
+type Entry struct {
+	ID, Address, Zone, Kind string
+	Cell                    int
+	State                   string
+	BornMs                  float64 // Unix time; 0 for long ago
+}
+
+// The states that a list can tell.
+const (
+	Ready       = "Ready"
+	Terminating = "Terminating"
+	Gone        = "Gone"
+)
+
+// ParseList reads a list or one line of a watch.
+func ParseList(b []byte) (l List, err error) {
+	s := scanner{b: b}
+	version := false
+	s.object(func(key string) {
+		switch key {
+		case "seq":
+			version, l.Version = true, int64(s.number())
+		case "whole":
+			l.Whole = s.truth()
+		case "hosts":
+			s.array(func() { l.Entries = append(l.Entries, s.entry()) })
+		default:
+			s.skip()
+		}
+	})
+	if err := s.end(); err != nil {
+		return l, err
+	}
+	if !version {
+		return l, fmt.Errorf("%w: a list without seq", ErrMalformed)
+	}
+	return l, nil
+}
+
+func (s *scanner) entry() (e Entry) {
+	s.object(func(key string) {
+		switch key {
+		case "host":
+			e.ID = s.text()
+		case "dial":
+			e.Address = s.text()
+		case "site":
+			e.Zone = s.text()
+		case "class":
+			e.Kind = s.text()
+		case "block":
+			e.Cell = int(s.number())
+		case "health":
+			e.State = s.text()
+		case "born_ms":
+			e.BornMs = s.number()
+		default:
+			s.skip()
+		}
+	})
+	if known := e.State == Ready || e.State == Terminating || e.State == Gone; s.err == nil && (e.ID == "" || !known) {
+		s.fail("a worker without name or state")
+	}
+	return e
+}
+
+// WatchTarget is where changes after a version are told.
+func WatchTarget(version int64) string {
+	return PathList + "?stream=1&index=" + strconv.FormatInt(version, 10)
+}
--- /dev/null
+++ b/internal/protocol/news.go
@@ -0,0 +1,56 @@
+package protocol
+
+import (
+	"encoding/binary"
+	"errors"
+	"hash/fnv"
+
+	"canvasroute/internal/terms"
+)
+
+// A datagram holds the low bits of the time of sending in milliseconds, and for each worker told of the tag of
+// its name and how many forwards are out there.
+const (
+	stampBytes = 2
+	loadBytes  = 3
+)
+
+// MostNews is how many loads one datagram holds.
+const MostNews = (terms.MessageMost - stampBytes) / loadBytes
+
+// ErrDatagram is a datagram that is not of this protocol.
+var ErrDatagram = errors.New("malformed datagram")
+
+// Load is what one datagram tells of one worker.
+type Load struct {
+	Tag      uint16
+	InFlight int
+}
+
+// Tag shortens a worker's name. Two that share a tag are told apart by nobody: the first one known is meant.
+func Tag(name string) uint16 {
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	return uint16(h.Sum32() ^ h.Sum32()>>16)
+}
+
+// AppendNews writes a datagram, of MostNews loads at most.
+func AppendNews(b []byte, stamp uint16, loads []Load) []byte {
+	b = binary.BigEndian.AppendUint16(b, stamp)
+	for _, l := range loads[:min(len(loads), MostNews)] {
+		b = append(binary.BigEndian.AppendUint16(b, l.Tag), byte(min(l.InFlight, 255)))
+	}
+	return b
+}
+
+// ParseNews reads a datagram.
+func ParseNews(b []byte) (stamp uint16, loads []Load, err error) {
+	if len(b) <= stampBytes || len(b) > terms.MessageMost || (len(b)-stampBytes)%loadBytes != 0 {
+		return 0, nil, ErrDatagram
+	}
+	stamp = binary.BigEndian.Uint16(b)
+	for b = b[stampBytes:]; len(b) > 0; b = b[loadBytes:] {
+		loads = append(loads, Load{binary.BigEndian.Uint16(b), int(b[2])})
+	}
+	return stamp, loads, nil
+}
--- /dev/null
+++ b/internal/routing/counts.go
@@ -0,0 +1,46 @@
+package routing
+
+import (
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+
+	"canvasroute/decide"
+)
+
+// Counts are what has been taken in, sent and answered since the start.
+type Counts struct {
+	Taken, Succeeded, Throttled, Errored, Left, Malformed, Overfull atomic.Int64
+	Sent, NoConnection                                              atomic.Int64
+	Probes, Lists, WatchesLost                                      atomic.Int64
+	DatagramsSent, DatagramsFailed, DatagramsHeard                  atomic.Int64
+	DatagramsBroken, Strangers, Overtaken                           atomic.Int64
+
+	outcomes [decide.Moot + 1]atomic.Int64
+}
+
+var outcomeNames = [decide.Moot + 1]string{decide.Succeeded: "succeeded", decide.WorkerError: "worker_error",
+	decide.Full: "full", decide.TimedOut: "timed_out", decide.NoConnection: "no_connection", decide.Reset: "reset",
+	decide.Cancelled: "called_off", decide.Moot: "never_sent"}
+
+func (c *Counts) outcome(how decide.Outcome) { c.outcomes[how].Add(1) }
+
+// Print leaves the counters in one log line.
+func (r *Router) Print(why string) {
+	c, forwards, datagrams := &r.counts, zerolog.Dict(), zerolog.Dict()
+	forwards.Int64("sent", c.Sent.Load())
+	for how, name := range outcomeNames {
+		if name != "" {
+			forwards.Int64(name, c.outcomes[how].Load())
+		}
+	}
+	datagrams.Int64("sent", c.DatagramsSent.Load()).Int64("failed", c.DatagramsFailed.Load()).
+		Int64("heard", c.DatagramsHeard.Load()).Int64("malformed", c.DatagramsBroken.Load()).
+		Int64("strangers", c.Strangers.Load()).Int64("overtaken", c.Overtaken.Load())
+	r.log.Info().Str("why", why).Int("open", r.facade.Open()).Int64("taken", c.Taken.Load()).
+		Int64("succeeded", c.Succeeded.Load()).Int64("throttled", c.Throttled.Load()).
+		Int64("errored", c.Errored.Load()).Int64("client_left", c.Left.Load()).
+		Int64("turned_away", c.Malformed.Load()).Int64("overfull", c.Overfull.Load()).
+		Dict("forwards", forwards).Int64("probes", c.Probes.Load()).Int64("lists", c.Lists.Load()).
+		Int64("watches_lost", c.WatchesLost.Load()).Dict("datagrams", datagrams).Msg("counters")
+}
--- /dev/null
+++ b/internal/routing/fleet.go
@@ -0,0 +1,95 @@
+// Package routing carries an invocation from its client to workers and back. Where it goes, and when it is
+// given up, it picks from the facade of the decisions; what happens it reports there. It decides nothing.
+package routing
+
+import (
+	"sync"
+
+	"canvasroute/decide"
+	"canvasroute/internal/protocol"
+)
+
+// fleet knows the workers by name and by address. A worker keeps its number while this process lives.
+type fleet struct {
+	zones, kinds map[string]int
+	clock        func(unixMs float64) decide.Time
+
+	mu      sync.Mutex
+	numbers map[string]decide.Worker
+	workers []worker
+	tagged  map[uint16]decide.Worker
+	version int64
+}
+
+type worker struct {
+	address string
+	tag     uint16
+	born    decide.Time
+	gone    bool
+}
+
+var listed = map[string]decide.State{protocol.Ready: decide.Healthy, protocol.Terminating: decide.Draining,
+	protocol.Gone: decide.Gone}
+
+// take turns a list into the decisions' entries. stale names the addresses whose connections are of no more use.
+func (f *fleet) take(l *protocol.List) (entries []decide.Entry, stale []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version = l.Version
+	seen := map[decide.Worker]bool{}
+	for _, e := range l.Entries {
+		n, known := f.numbers[e.ID]
+		if !known {
+			n = decide.Worker(len(f.workers))
+			f.numbers[e.ID] = n
+			f.workers = append(f.workers, worker{tag: protocol.Tag(e.ID)})
+			if _, taken := f.tagged[f.workers[n].tag]; !taken {
+				f.tagged[f.workers[n].tag] = n
+			}
+		}
+		seen[n] = true
+		w, state, was := &f.workers[n], listed[e.State], f.workers[n]
+		if w.gone = state == decide.Gone; e.Address != "" {
+			w.address = e.Address
+		}
+		if e.BornMs > 0 {
+			w.born = max(w.born, f.clock(e.BornMs))
+		}
+		if was.address != "" && (state != decide.Healthy || w.address != was.address || w.born > was.born) {
+			stale = append(stale, was.address)
+		}
+		entries = append(entries, decide.Entry{Tgt: n, ID: e.ID, Zone: decide.Zone(f.zones[e.Zone]),
+			Kind: decide.Kind(f.kinds[e.Kind]), Cell: decide.Cell(e.Cell), State: state, Born: w.born})
+	}
+	for n := range f.workers {
+		if w := &f.workers[n]; l.Whole && !seen[decide.Worker(n)] && !w.gone {
+			w.gone, stale = true, append(stale, w.address)
+		}
+	}
+	return entries, stale
+}
+
+func (f *fleet) address(w decide.Worker) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.workers[w].address
+}
+
+func (f *fleet) tag(w decide.Worker) uint16 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.workers[w].tag
+}
+
+func (f *fleet) byTag(tag uint16) (decide.Worker, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, ok := f.tagged[tag]
+	return w, ok
+}
+
+func (f *fleet) listVersion() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version
+}
--- /dev/null
+++ b/internal/routing/forward.go
@@ -0,0 +1,212 @@
+package routing
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"canvasroute/decide"
+	"canvasroute/internal/protocol"
+	"canvasroute/internal/transport"
+)
+
+// endWithin bounds the wait for an answer's end after its last line has come.
+const endWithin = 250 * time.Millisecond
+
+// forward sends the invocation to one worker and reports what comes of it, once.
+func (r *Router) forward(t *decide.Ticket, c decide.Choice, inv *protocol.Invocation, until time.Time,
+	result chan<- string) {
+	f := &attempt{r: r, ctx: c.Ctx, inv: inv, until: until, started: func() { t.ReportStart(c.N) }}
+	how, text, finish := f.run(c.Tgt)
+	r.counts.outcome(how)
+	if t.Report(c.N, how) {
+		result <- text
+	}
+	if finish != nil {
+		finish()
+	}
+}
+
+// attempt is one forward on its way.
+type attempt struct {
+	r       *Router
+	ctx     context.Context
+	inv     *protocol.Invocation
+	until   time.Time
+	started func()
+}
+
+// run returns the outcome, the result of a succeeded forward, and what is left to do for the connection after
+// the outcome has been reported.
+func (f *attempt) run(tgt decide.Worker) (how decide.Outcome, result string, finish func()) {
+	conn, err := f.connect(tgt)
+	if err != nil {
+		if f.ctx.Err() != nil {
+			return decide.Moot, "", nil
+		}
+		f.r.counts.NoConnection.Add(1)
+		f.r.log.Info().Str("side", "worker").Str("addr", f.r.fleet.address(tgt)).Str("reason", "not_up").
+			Err(err).Msg("connection never came up")
+		return decide.NoConnection, "", nil
+	}
+	if f.ctx.Err() != nil {
+		f.r.pool.Put(conn)
+		return decide.Moot, "", nil
+	}
+	stop := context.AfterFunc(f.ctx, conn.Interrupt)
+	message := protocol.AppendForward(nil, f.inv, time.Until(f.until))
+	if err := conn.Send(f.r.terms.DialWithin, message); err != nil { // before its last byte: it never ran
+		stop()
+		return f.unsent(conn, err)
+	}
+	f.r.counts.Sent.Add(1)
+	how, result, body, err := f.read(conn)
+	interrupted := !stop()
+	return how, result, func() {
+		if err == nil {
+			// The answer's last chunk may still be on its way: without it the connection cannot be used again.
+			conn.Within(endWithin)
+			err = conn.Pieces(&body, func([]byte) bool { return true })
+		}
+		switch {
+		case err != nil:
+			conn.End(f.reason(err, interrupted), err)
+		case interrupted:
+			conn.End(transport.CalledOff, nil)
+		default:
+			f.r.pool.Put(conn)
+		}
+	}
+}
+
+// connect gets a connection within the time in which one comes up or never does.
+func (f *attempt) connect(tgt decide.Worker) (*transport.Conn, error) {
+	ctx, cancel := context.WithTimeout(f.ctx, f.r.terms.DialWithin)
+	defer cancel()
+	return f.r.pool.Get(ctx, f.r.fleet.address(tgt))
+}
+
+func (f *attempt) unsent(conn *transport.Conn, err error) (decide.Outcome, string, func()) {
+	conn.End(f.reason(err, f.ctx.Err() != nil), err)
+	if f.ctx.Err() != nil {
+		return decide.Moot, "", nil
+	}
+	return decide.NoConnection, "", nil
+}
+
+// reason tells why a connection ends with an error.
+func (f *attempt) reason(err error, interrupted bool) transport.Reason {
+	switch {
+	case interrupted:
+		return transport.CalledOff
+	case errors.Is(err, errBroken):
+		return transport.Malformed
+	case errors.Is(err, errAsked):
+		return transport.Asked
+	case errors.Is(err, errUnwanted):
+		return transport.Unwanted
+	}
+	return transport.Blame(err)
+}
+
+var (
+	errBroken   = errors.New("broken answer")
+	errUnwanted = errors.New("answer ends without a last line")
+	errAsked    = errors.New("the worker ends the connection")
+)
+
+// lost is the outcome of a forward that was sent and whose connection brings nothing more.
+func (f *attempt) lost(err error) decide.Outcome {
+	switch {
+	case errors.Is(context.Cause(f.ctx), decide.ErrCalledOff):
+		return decide.Cancelled
+	case f.ctx.Err() != nil:
+		return decide.TimedOut
+	case errors.Is(err, protocol.ErrMalformed), errors.Is(err, protocol.ErrTooLarge),
+		errors.Is(err, protocol.ErrHeadTooLarge), errors.Is(err, errBroken):
+		return decide.WorkerError
+	}
+	return decide.Reset
+}
+
+// read takes the worker's answer up to the line that ends the forward. With an error the connection is of no
+// more use; without one the rest of body is still to come.
+func (f *attempt) read(conn *transport.Conn) (how decide.Outcome, result string, body protocol.Body, err error) {
+	head, err := conn.Answer()
+	if err != nil {
+		return f.lost(err), "", body, err
+	}
+	if body, err = protocol.AnswerBody(&head); err != nil {
+		return f.lost(err), "", body, err
+	}
+	if head.Status != 200 {
+		how = decide.WorkerError
+		if protocol.Declined(&head) {
+			how = decide.Full
+		}
+		if head.Closes() || body.EndsWithConnection() {
+			return how, "", body, errAsked
+		}
+		return how, "", body, nil
+	}
+	var pending []byte
+	broken := error(nil)
+	err = conn.Pieces(&body, func(data []byte) bool {
+		pending = append(pending, data...)
+		for how == 0 && broken == nil {
+			line, rest, whole := bytes.Cut(pending, []byte("\n"))
+			if !whole {
+				break
+			}
+			how, result, broken = f.line(bytes.TrimSpace(line))
+			pending = rest
+		}
+		if len(pending) > protocol.MostLine {
+			broken = fmt.Errorf("%w: line too long", errBroken)
+		}
+		return how == 0 && broken == nil
+	})
+	if last := bytes.TrimSpace(pending); err == nil && how == 0 && broken == nil && len(last) > 0 {
+		how, result, broken = f.line(last)
+	}
+	switch {
+	case broken != nil:
+		return decide.WorkerError, "", body, broken
+	case how != 0 && head.Closes():
+		return how, result, body, errAsked
+	case how != 0:
+		return how, result, body, nil
+	case err == nil:
+		err = errUnwanted
+	}
+	return f.lost(err), "", body, err
+}
+
+// line takes one line of the worker's. The outcome is 0 while the forward goes on.
+func (f *attempt) line(b []byte) (how decide.Outcome, result string, err error) {
+	if len(b) == 0 {
+		return 0, "", nil
+	}
+	l, err := protocol.ParseLine(b)
+	if err != nil {
+		return 0, "", fmt.Errorf("%w: %w", errBroken, err)
+	}
+	if l.ID != f.inv.ID { // what was made for another must not reach this client
+		return 0, "", fmt.Errorf("%w: a line for %.40q", errBroken, l.ID)
+	}
+	switch l.State {
+	case protocol.Started:
+		f.started()
+	case protocol.Done:
+		return decide.Succeeded, l.Result, nil
+	case protocol.Failed:
+		return decide.WorkerError, "", nil
+	case protocol.Returned:
+		return decide.Full, "", nil
+	case protocol.Lost:
+		return decide.Reset, "", nil
+	}
+	return 0, "", nil
+}
--- /dev/null
+++ b/internal/routing/list.go
@@ -0,0 +1,175 @@
+package routing
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"canvasroute/decide"
+	"canvasroute/internal/protocol"
+	"canvasroute/internal/transport"
+)
+
+// A watch brings a line every two seconds. Told or not, what the list service has to tell counts as told six
+// seconds later, so a silent watch is given up while there is time to ask again.
+const (
+	silentAfter = 3 * time.Second
+	callWithin  = 2500 * time.Millisecond // for the first line of a watch: the service answers 503 before
+	mostList    = 8 << 20                 // one line
+)
+
+// follow watches the list whenever the decisions ask for it, and reports when a watch has ended.
+func (r *Router) follow(ctx context.Context) error {
+	for {
+		if err := r.facade.PickWatch(ctx); err != nil {
+			return nil
+		}
+		err := r.watch(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		r.counts.WatchesLost.Add(1)
+		r.log.Warn().Err(err).Msg("list watch lost")
+		r.settled.Store(true)
+		r.facade.ReportListLost()
+	}
+}
+
+// watch makes one call and takes its lines until it ends, with an error always.
+func (r *Router) watch(ctx context.Context) error {
+	dialing, cancel := context.WithTimeout(ctx, min(r.terms.DialWithin*4, callWithin))
+	defer cancel()
+	conn, err := transport.Dial(dialing, r.terms.Discovery, transport.Lister, r.log)
+	if err != nil {
+		return err
+	}
+	defer context.AfterFunc(ctx, conn.Interrupt)()
+	why, err := r.lines(ctx, conn)
+	conn.End(why, err)
+	return err
+}
+
+func (r *Router) lines(ctx context.Context, conn *transport.Conn) (transport.Reason, error) {
+	ask := protocol.AppendGet(nil, protocol.WatchTarget(r.fleet.listVersion()))
+	if err := conn.Send(callWithin, ask); err != nil {
+		return transport.Blame(err), err
+	}
+	conn.Within(callWithin)
+	head, err := conn.Answer()
+	if err != nil {
+		return transport.Blame(err), err
+	}
+	body, err := protocol.AnswerBody(&head)
+	if err != nil {
+		return transport.Malformed, err
+	}
+	if head.Status != 200 {
+		return transport.Unwanted, fmt.Errorf("list: status %d", head.Status)
+	}
+	var pending []byte
+	var broken error
+	err = conn.Pieces(&body, func(data []byte) bool {
+		conn.Within(silentAfter)
+		pending = append(pending, data...)
+		for broken == nil {
+			line, rest, whole := bytes.Cut(pending, []byte("\n"))
+			if !whole {
+				break
+			}
+			if line = bytes.TrimSpace(line); len(line) > 0 {
+				broken = r.takeList(line)
+			}
+			pending = rest
+		}
+		if len(pending) > mostList {
+			broken = protocol.ErrTooLarge
+		}
+		return broken == nil
+	})
+	switch {
+	case ctx.Err() != nil:
+		return transport.Ending, nil
+	case broken != nil:
+		return transport.Malformed, broken
+	case err == nil:
+		return transport.Asked, errors.New("list: the watch has ended")
+	case transport.Blame(err) == transport.TooSlow:
+		return transport.Silent, err
+	}
+	return transport.Blame(err), err
+}
+
+func (r *Router) takeList(line []byte) error {
+	l, err := protocol.ParseList(line)
+	if err != nil {
+		return err
+	}
+	r.counts.Lists.Add(1)
+	entries, stale := r.fleet.take(&l)
+	r.facade.ReportList(entries, l.Whole, false)
+	for _, addr := range stale {
+		r.pool.Forget(addr)
+	}
+	r.settled.Store(true)
+	return nil
+}
+
+// probes asks workers for their load reports where the decisions want them.
+func (r *Router) probes(ctx context.Context) error {
+	for {
+		w, err := r.facade.PickProbe(ctx)
+		if err != nil {
+			return nil
+		}
+		r.forwards.Go(func() error {
+			r.probe(ctx, w)
+			return nil
+		})
+	}
+}
+
+func (r *Router) probe(ctx context.Context, w decide.Worker) {
+	ctx, cancel := context.WithTimeout(ctx, r.terms.DialWithin)
+	defer cancel()
+	conn, err := r.pool.Get(ctx, r.fleet.address(w))
+	if err != nil {
+		return
+	}
+	stop := context.AfterFunc(ctx, conn.Interrupt)
+	values, closes, err := r.loadReport(conn)
+	switch {
+	case !stop():
+		conn.End(transport.CalledOff, err)
+	case err != nil:
+		conn.End(transport.Blame(err), err)
+	case closes:
+		conn.End(transport.Asked, nil)
+	default:
+		r.pool.Put(conn)
+	}
+	if r.counts.Probes.Add(1); err == nil {
+		r.facade.ReportLoad(w, values)
+	}
+}
+
+func (r *Router) loadReport(conn *transport.Conn) (values []float64, closes bool, err error) {
+	if err := conn.Send(r.terms.DialWithin, protocol.AppendGet(nil, protocol.PathLoad)); err != nil {
+		return nil, false, err
+	}
+	head, err := conn.Answer()
+	if err != nil {
+		return nil, false, err
+	}
+	frame, err := protocol.AnswerBody(&head)
+	if err != nil {
+		return nil, false, err
+	}
+	body, err := conn.Body(frame, protocol.MostBody)
+	if err != nil || head.Status != 200 {
+		return nil, true, err
+	}
+	values, err = protocol.ParseLoad(body, r.terms.Report)
+	return values, head.Closes() || frame.EndsWithConnection(), err
+}
--- /dev/null
+++ b/internal/routing/router.go
@@ -0,0 +1,194 @@
+package routing
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"canvasroute/decide"
+	"canvasroute/internal/protocol"
+	"canvasroute/internal/transport"
+)
+
+// Operation is what is told of one operation by name.
+type Operation struct {
+	Name    string
+	Timeout time.Duration // a client's, where it tells none
+}
+
+// Terms are what a router is told at its start.
+type Terms struct {
+	Operations    []Operation
+	Owners, Zones []string
+	Kinds, Report []string
+	DialWithin    time.Duration
+	AskWithin     time.Duration // how long the list may go unasked
+	Discovery     string
+	Peers         []netip.AddrPort
+	Position      int
+	Known         *protocol.List
+	FromUnix      func(ms float64) decide.Time
+}
+
+// Router answers invocations by way of workers.
+type Router struct {
+	terms      Terms
+	facade     *decide.Facade
+	pool       *transport.Pool
+	datagrams  *transport.Datagrams // nil where dispatchers may not talk
+	log        zerolog.Logger
+	fleet      fleet
+	operations map[string]decide.Operation
+	owners     map[string]decide.Customer
+	forwards   errgroup.Group
+	heard      []stamp
+	counts     Counts
+
+	settled  atomic.Bool // the first call for the list has been answered, or has failed
+	draining atomic.Bool
+}
+
+// New makes a router and gives the facade the list that it starts with.
+func New(t Terms, f *decide.Facade, p *transport.Pool, d *transport.Datagrams, log zerolog.Logger) *Router {
+	r := &Router{terms: t, facade: f, pool: p, datagrams: d, log: log, heard: make([]stamp, len(t.Peers)),
+		operations: map[string]decide.Operation{}, owners: map[string]decide.Customer{},
+		fleet: fleet{zones: numbered(t.Zones), kinds: numbered(t.Kinds), clock: t.FromUnix,
+			numbers: map[string]decide.Worker{}, tagged: map[uint16]decide.Worker{}}}
+	for n, o := range t.Operations {
+		r.operations[o.Name] = decide.Operation(n)
+	}
+	for n, name := range t.Owners {
+		r.owners[name] = decide.Customer(n)
+	}
+	if t.Known != nil {
+		entries, _ := r.fleet.take(t.Known)
+		f.ReportList(entries, true, true)
+	}
+	return r
+}
+
+func numbered(names []string) map[string]int {
+	m := map[string]int{}
+	for n, name := range names {
+		m[name] = n
+	}
+	return m
+}
+
+// Run follows the list and talks to peers until ctx ends; then it waits for the forwards that are out.
+func (r *Router) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return r.facade.Tick(ctx) })
+	g.Go(func() error { return r.follow(ctx) })
+	g.Go(func() error { return r.probes(ctx) })
+	if r.datagrams != nil {
+		g.Go(func() error { return r.tell(ctx) })
+		g.Go(func() error { return r.datagrams.Run(ctx, r.hear) })
+	}
+	err := g.Wait()
+	r.forwards.Wait()
+	return err
+}
+
+// Drain makes clients go elsewhere, and gives what is open until within to be answered.
+func (r *Router) Drain(within time.Duration) {
+	r.draining.Store(true)
+	r.facade.EndBy(decide.Time(within / (time.Second / decide.Second)))
+}
+
+// Check answers what can be answered by the head alone.
+func (r *Router) Check(h *protocol.Head) *protocol.Answer {
+	switch path := h.Path(); {
+	case path == protocol.PathReady && (h.Method == "GET" || h.Method == "HEAD"):
+		if r.settled.Load() && !r.draining.Load() {
+			return &protocol.Answer{Status: 200}
+		}
+		return &protocol.Answer{Status: 503}
+	case path == protocol.PathReady:
+		return r.turnedAway(&protocol.Answer{Status: 405, Allow: "GET, HEAD"})
+	case path != protocol.PathInvoke:
+		return r.turnedAway(&protocol.Answer{Status: 404})
+	case h.Method != "POST":
+		return r.turnedAway(&protocol.Answer{Status: 405, Allow: "POST"})
+	}
+	return nil
+}
+
+func (r *Router) turnedAway(a *protocol.Answer) *protocol.Answer {
+	r.counts.Malformed.Add(1)
+	return a
+}
+
+// Broken answers what cannot be read.
+func (r *Router) Broken(err error) *protocol.Answer {
+	return r.turnedAway(protocol.Refusal(err))
+}
+
+// Overfull answers what comes on a connection beyond the budget: it was never sent anywhere.
+func (r *Router) Overfull() *protocol.Answer {
+	r.counts.Overfull.Add(1)
+	return &protocol.Answer{Status: 503}
+}
+
+// landing reads what the decisions need to know of an invocation.
+func (r *Router) landing(inv *protocol.Invocation) (decide.Landing, error) {
+	o, known := r.operations[inv.Operation]
+	if !known {
+		return decide.Landing{}, fmt.Errorf("%w: unknown operation %.40q", protocol.ErrMalformed, inv.Operation)
+	}
+	c, known := r.owners[inv.Owner]
+	if !known && len(r.owners) > 0 {
+		return decide.Landing{}, fmt.Errorf("%w: unknown owner %.40q", protocol.ErrMalformed, inv.Owner)
+	}
+	if inv.Timeout == 0 {
+		inv.Timeout = r.terms.Operations[o].Timeout
+	}
+	return decide.Landing{Operation: o, Customer: c, Grace: spanOf(inv.Timeout),
+		Hint: decide.Work(spanOf(inv.Hint)), Slots: inv.Slots}, nil
+}
+
+func spanOf(d time.Duration) decide.Time { return decide.Time(d / (time.Second / decide.Second)) }
+
+// Serve carries one invocation through: it picks until there is an answer, and sends forwards meanwhile.
+func (r *Router) Serve(ctx context.Context, h *protocol.Head, body []byte, came time.Time) *protocol.Answer {
+	inv, err := protocol.ParseInvocation(h)
+	if err != nil {
+		return r.Broken(err)
+	}
+	l, err := r.landing(inv)
+	if err != nil {
+		return r.Broken(err)
+	}
+	inv.Body = body
+	r.counts.Taken.Add(1)
+	until := came.Add(inv.Timeout)
+	t, result := r.facade.Land(l), make(chan string, 1)
+	for {
+		c, err := t.Pick(ctx)
+		if err != nil {
+			r.counts.Left.Add(1)
+			return nil
+		}
+		switch c.Do {
+		case decide.Send:
+			r.forwards.Go(func() error {
+				r.forward(t, c, inv, until, result)
+				return nil
+			})
+		case decide.AnswerFound:
+			r.counts.Succeeded.Add(1)
+			return &protocol.Answer{Status: 200, Body: []byte(<-result)}
+		case decide.AnswerThrottled:
+			r.counts.Throttled.Add(1)
+			return &protocol.Answer{Status: 429, ComeBack: c.ComeBack.Duration()}
+		default:
+			r.counts.Errored.Add(1)
+			return &protocol.Answer{Status: 502}
+		}
+	}
+}
--- a/internal/drill/terms.go
+++ b/internal/terms/terms.go
@@ -1,4 +1,6 @@
-package drill
+// Package terms turns the settings that a dispatcher is given at its start into the terms of its decisions.
+// The bench's adapter and the dispatcher on sockets both read them here.
+package terms
 
 import (
 	"errors"
@@ -11,6 +13,12 @@
 	"canvasroute/decide"
 )
 
+// A message to peers of up to MessageLeast bytes has the same price, as measured; MessageMost is the longest.
+const (
+	MessageLeast = 16
+	MessageMost  = 256
+)
+
 var repeats = map[string]decide.Repeat{
 	"idempotent": decide.Idempotent, "deduplicated": decide.Deduplicated, "at_most_once": decide.NonIdempotent,
 }
@@ -19,8 +27,14 @@
 	"": decide.ScopeAll, "all": decide.ScopeAll, "zone": decide.ScopeZone, "cell": decide.ScopeCell,
 }
 
-// terms reads the settings; keys that it does not know are passed over.
-func terms(v *fastjson.Value) (decide.Terms, error) {
+// Clock turns a moment in seconds into the decisions' time.
+func Clock(s float64) decide.Time { return decide.Time(math.Round(s * decide.Second)) }
+
+// Span rounds down, so that nothing is believed to last longer than it does.
+func Span(s float64) decide.Time { return decide.Time(math.Floor(s*decide.Second + 1e-6)) }
+
+// Parse reads the settings; keys that it does not know are passed over.
+func Parse(v *fastjson.Value) (decide.Terms, error) {
 	if v == nil || v.Type() != fastjson.TypeObject {
 		return decide.Terms{}, errors.New("not an object")
 	}
@@ -29,10 +43,10 @@
 	t := decide.Terms{
 		Dispatchers: v.GetInt("balancers"), Kinds: max(len(v.GetArray("shapes")), 1),
 		Zone:     decide.Zone(v.GetInt("zone")),
-		Position: v.GetInt("position"), TellCost: v.GetFloat64("prices", "peer") * messageLeast / messageMost,
-		Granularity: span(v.GetFloat64("granularityS")), AskWithin: span(rules.GetFloat64("askWithinS")),
-		ComeBackMost: span(limits.GetFloat64("maxRetryAfterS")), Ramp: span(rules.GetFloat64("rampTimeS")),
-		FallSpan: span(rules.GetFloat64("fallS")), ColdFrom: rules.GetFloat64("coldFrom"),
+		Position: v.GetInt("position"), TellCost: v.GetFloat64("prices", "peer") * MessageLeast / MessageMost,
+		Granularity: Span(v.GetFloat64("granularityS")), AskWithin: Span(rules.GetFloat64("askWithinS")),
+		ComeBackMost: Span(limits.GetFloat64("maxRetryAfterS")), Ramp: Span(rules.GetFloat64("rampTimeS")),
+		FallSpan: Span(rules.GetFloat64("fallS")), ColdFrom: rules.GetFloat64("coldFrom"),
 		FallMultiple: rules.GetFloat64("overloadFactor"), SurplusShare: v.GetFloat64("surplusBilledValue"),
 		CrossCost: v.GetFloat64("prices", "crossZone"), ForwardsMost: limits.GetInt("maxForwards"),
 		AskForList: string(v.GetStringBytes("registryMode")) == "subscribe",
@@ -66,7 +80,7 @@
 				o.GetStringBytes("repeat"), o.GetStringBytes("dedupScope"))
 		}
 		op := decide.OperationTerms{
-			Objective: span(o.GetFloat64("latencyObjectiveS")), Window: span(o.GetFloat64("dedupWindowS")),
+			Objective: Span(o.GetFloat64("latencyObjectiveS")), Window: Span(o.GetFloat64("dedupWindowS")),
 			Value: o.GetFloat64("billedValue"), TardyShare: o.GetFloat64("tardyBilledValue"),
 			Repeat: repeat, Scope: scope, Kind: -1,
 		}
--- /dev/null
+++ b/internal/transport/conn.go
@@ -0,0 +1,299 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"canvasroute/internal/protocol"
+)
+
+// Reason is why a connection ended, as its log line names it.
+type Reason string
+
+const (
+	PeerClosed   Reason = "peer_closed"   // the other side ended it between messages
+	PeerBroke    Reason = "peer_broke"    // the other side ended or reset it within a message
+	ClientLeft   Reason = "client_left"   // the client ended it while its invocation was out
+	IdleRetired  Reason = "idle_retired"  // it stood idle for as long as we let it
+	StaleRetired Reason = "stale_retired" // its worker drains, is gone, has restarted or has moved
+	CalledOff    Reason = "called_off"    // a decision ended its forward, or the client's time was up
+	Malformed    Reason = "malformed"     // what came on it cannot be read
+	Asked        Reason = "asked"         // a side had said that it ends here
+	TooSlow      Reason = "too_slow"      // a message did not come, or could not be sent, within its bound
+	OverBudget   Reason = "over_budget"   // it stood idle and its place was needed
+	Silent       Reason = "silent"        // no line came on a watch for too long
+	Unwanted     Reason = "unwanted"      // an answer that says that it never ends well: a status that is no success
+	Ending       Reason = "ending"        // this process ends
+)
+
+// ringSize holds any head that is taken.
+const ringSize = protocol.MostHead
+
+// Side is who is at the other end.
+type Side string
+
+const (
+	Client Side = "client"
+	Worker Side = "worker"
+	Lister Side = "list"
+)
+
+// Conn is one connection. One goroutine at a time uses it.
+type Conn struct {
+	nc       net.Conn
+	in, out  *Ring
+	side     Side
+	addr     string
+	opened   time.Time
+	idleFrom time.Time
+	messages int
+	counter  meter
+	log      zerolog.Logger
+	ended    sync.Once
+	onEnd    func()
+}
+
+// meter counts the bytes of a connection.
+type meter struct {
+	nc            net.Conn
+	read, written atomic.Int64
+}
+
+func (m *meter) Read(p []byte) (int, error) {
+	n, err := m.nc.Read(p)
+	m.read.Add(int64(n))
+	return n, err
+}
+
+func (m *meter) Write(p []byte) (int, error) {
+	n, err := m.nc.Write(p)
+	m.written.Add(int64(n))
+	return n, err
+}
+
+func newConn(nc net.Conn, side Side, addr string, log zerolog.Logger, onEnd func()) *Conn {
+	return &Conn{nc: nc, in: NewRing(ringSize), out: NewRing(ringSize), side: side, addr: addr,
+		opened: time.Now(), log: log, onEnd: onEnd, counter: meter{nc: nc}}
+}
+
+// Dial opens a connection that no pool keeps.
+func Dial(ctx context.Context, addr string, side Side, log zerolog.Logger) (*Conn, error) {
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("connecting: %w", err)
+	}
+	return newConn(nc, side, addr, log, nil), nil
+}
+
+// End closes the connection and leaves its log line; only the first call counts.
+func (c *Conn) End(why Reason, cause error) {
+	c.ended.Do(func() {
+		c.nc.Close()
+		e := c.log.Info().Str("side", string(c.side)).Str("addr", c.addr).Str("reason", string(why)).
+			Dur("age_ms", time.Since(c.opened)).Int("messages", c.messages).
+			Int64("read", c.counter.read.Load()).Int64("written", c.counter.written.Load())
+		if cause != nil {
+			e = e.AnErr("cause", cause)
+		}
+		e.Msg("connection ended")
+		if c.onEnd != nil {
+			c.onEnd()
+		}
+	})
+}
+
+// Reused tells whether the connection has carried a message before.
+func (c *Conn) Reused() bool { return c.messages > 0 }
+
+// Within bounds all reading from now on; none if d is 0.
+func (c *Conn) Within(d time.Duration) {
+	var at time.Time
+	if d > 0 {
+		at = time.Now().Add(d)
+	}
+	c.nc.SetReadDeadline(at)
+}
+
+// Interrupt makes all reading and writing end at once.
+func (c *Conn) Interrupt() { c.nc.SetDeadline(time.Unix(1, 0)) }
+
+// ErrPartly is a connection that ended within a message.
+var ErrPartly = errors.New("ended within a message")
+
+// fill reads once more. An end is ErrPartly if something is held already or partly is set.
+func (c *Conn) fill(partly bool) error {
+	_, err := c.in.Fill(&c.counter)
+	if errors.Is(err, io.EOF) && (partly || c.in.Len() > 0) {
+		return ErrPartly
+	}
+	return err
+}
+
+// head reads until parse has a whole head. first is called once, when the first byte is there.
+func (c *Conn) head(parse func([]byte) (protocol.Head, int, error), first func()) (protocol.Head, error) {
+	for {
+		if c.in.Len() > 0 {
+			if first != nil {
+				first()
+				first = nil
+			}
+			h, used, err := parse(c.in.Bytes())
+			if err != nil || used > 0 {
+				c.in.Discard(used)
+				return h, err
+			}
+		}
+		if c.in.Full() {
+			return protocol.Head{}, protocol.ErrHeadTooLarge
+		}
+		if err := c.fill(false); err != nil {
+			return protocol.Head{}, err
+		}
+	}
+}
+
+// Ask reads the head of what a client asks.
+func (c *Conn) Ask(first func()) (protocol.Head, error) { return c.head(protocol.ParseAsk, first) }
+
+// Answer reads the head of an answer; interim ones are passed over.
+func (c *Conn) Answer() (h protocol.Head, err error) {
+	for h.Status < 200 && err == nil {
+		h, err = c.head(protocol.ParseAnswer, nil)
+	}
+	return h, err
+}
+
+// Pieces hands on a body piece by piece until it is whole or take returns false.
+func (c *Conn) Pieces(b *protocol.Body, take func([]byte) bool) error {
+	for !b.Done() {
+		data, used, err := b.Next(c.in.Bytes())
+		if err != nil {
+			return err
+		}
+		more := len(data) == 0 || take(data)
+		c.in.Discard(used)
+		if !more {
+			return nil
+		}
+		if used > 0 || b.Done() {
+			continue
+		}
+		if err := c.fill(true); err != nil {
+			if b.EndsWithConnection() && errors.Is(err, ErrPartly) {
+				return nil
+			}
+			return err
+		}
+	}
+	return nil
+}
+
+// Body reads a body of at most that many bytes.
+func (c *Conn) Body(b protocol.Body, most int) ([]byte, error) {
+	if b.Length() > int64(most) {
+		return nil, protocol.ErrTooLarge
+	}
+	body := make([]byte, 0, b.Length())
+	fits := true
+	err := c.Pieces(&b, func(data []byte) bool {
+		fits = len(body)+len(data) <= most
+		body = append(body, data...)
+		return fits
+	})
+	if !fits {
+		return nil, protocol.ErrTooLarge
+	}
+	return body, err
+}
+
+// Send writes all of a message within a bound.
+func (c *Conn) Send(within time.Duration, parts ...[]byte) error {
+	c.nc.SetWriteDeadline(time.Now().Add(within))
+	for _, p := range parts {
+		for len(p) > 0 {
+			n := c.out.Write(p)
+			p = p[n:]
+			if c.out.Full() {
+				if err := c.out.Drain(&c.counter); err != nil {
+					return fmt.Errorf("sending: %w", err)
+				}
+			}
+		}
+	}
+	if err := c.out.Drain(&c.counter); err != nil {
+		return fmt.Errorf("sending: %w", err)
+	}
+	c.messages++
+	return nil
+}
+
+// Attend watches for the other side's end while this one has the turn, and then calls left. What comes early
+// is kept. stop ends the watch; before it returns nothing else may be read.
+func (c *Conn) Attend(left func(error)) (stop func()) {
+	c.nc.SetReadDeadline(time.Time{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for !c.in.Full() {
+			if _, err := c.in.Fill(&c.counter); err != nil {
+				if !errors.Is(err, context.DeadlineExceeded) && !isTimeout(err) {
+					left(err)
+				}
+				return
+			}
+		}
+	}()
+	return func() {
+		c.nc.SetReadDeadline(time.Unix(1, 0))
+		<-done
+		c.nc.SetReadDeadline(time.Time{})
+	}
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// alive looks whether an idle connection has neither ended nor brought anything.
+func (c *Conn) alive() bool {
+	raw, ok := c.nc.(syscall.Conn)
+	if !ok || c.in.Len() > 0 {
+		return false
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	alive, one := false, make([]byte, 1)
+	err = rc.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), one, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		alive = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && alive
+}
+
+// Blame tells the reason code for an error of reading or sending.
+func Blame(err error) Reason {
+	switch {
+	case errors.Is(err, io.EOF):
+		return PeerClosed
+	case isTimeout(err):
+		return TooSlow
+	case errors.Is(err, protocol.ErrMalformed), errors.Is(err, protocol.ErrTooLarge),
+		errors.Is(err, protocol.ErrHeadTooLarge):
+		return Malformed
+	}
+	return PeerBroke
+}
--- /dev/null
+++ b/internal/transport/server.go
@@ -0,0 +1,259 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"canvasroute/internal/protocol"
+)
+
+// Bounds on waiting for clients.
+const (
+	askWithin    = 10 * time.Second // from a message's first byte to its last
+	answerWithin = 5 * time.Second  // for the client to take the answer
+	idleWithin   = 75 * time.Second // between messages
+	lingerWithin = 500 * time.Millisecond
+	crossWithin  = 50 * time.Millisecond // for a message on its way to an idle connection that is to end
+)
+
+// Handler answers what clients ask.
+type Handler interface {
+	// Serve answers what is asked whole. ctx ends when the client leaves; then there is no answer.
+	Serve(ctx context.Context, h *protocol.Head, body []byte, came time.Time) *protocol.Answer
+	// Check answers at once what needs no body, or cannot be taken; nil if the body should be read.
+	Check(h *protocol.Head) *protocol.Answer
+	// Overfull answers what comes on a connection beyond the budget.
+	Overfull() *protocol.Answer
+	// Broken answers what cannot be read.
+	Broken(err error) *protocol.Answer
+}
+
+// Server takes clients' connections.
+type Server struct {
+	ln      net.Listener
+	handler Handler
+	log     zerolog.Logger
+	most    int
+
+	mu       sync.Mutex
+	conns    map[*Conn]bool // true while it stands idle between messages
+	stopping bool
+}
+
+// errClientLeft is the cause of an invocation's context that its client has ended.
+var errClientLeft = errors.New("client left")
+
+// Listen opens the listener. Beyond most connections, spare more are answered as overfull.
+func Listen(addr string, most int, handler Handler, log zerolog.Logger) (*Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listening for clients: %w", err)
+	}
+	return &Server{ln: ln, handler: handler, log: log, most: most, conns: map[*Conn]bool{}}, nil
+}
+
+// Run accepts until ctx ends, and then waits for the connections it has; those that stand idle end at once,
+// the others after the answer that they are owed.
+func (s *Server) Run(ctx context.Context) error {
+	var conns errgroup.Group
+	stop := context.AfterFunc(ctx, func() { s.ln.Close() })
+	defer stop()
+	spare := make(chan struct{}, max(s.most/8, 1))
+	for {
+		nc, err := s.ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			break
+		}
+		if err != nil { // descriptors ran out: wait for some to come free
+			s.log.Warn().Err(err).Msg("accepting")
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		if s.count() >= s.most {
+			s.makeRoom()
+		}
+		over := s.count() >= s.most
+		if over {
+			spare <- struct{}{}
+		}
+		c := newConn(nc, Client, nc.RemoteAddr().String(), s.log, nil)
+		s.note(c, true)
+		conns.Go(func() error {
+			s.serve(c, over)
+			s.mu.Lock()
+			delete(s.conns, c)
+			s.mu.Unlock()
+			if over {
+				<-spare
+			}
+			return nil
+		})
+	}
+	s.Retire()
+	return conns.Wait()
+}
+
+// Retire makes each connection end after the answer it is owed, and the idle ones now.
+func (s *Server) Retire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	for c, idle := range s.conns {
+		if idle {
+			c.Within(crossWithin)
+		}
+	}
+}
+
+// Closing makes each answer from now on the last one of its connection.
+func (s *Server) Closing() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+}
+
+func (s *Server) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// makeRoom ends the connection that has stood idle longest.
+func (s *Server) makeRoom() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var oldest *Conn
+	for c, idle := range s.conns {
+		if idle && (oldest == nil || c.idleFrom.Before(oldest.idleFrom)) {
+			oldest = c
+		}
+	}
+	if oldest != nil {
+		oldest.Within(time.Nanosecond)
+		delete(s.conns, oldest)
+	}
+}
+
+func (s *Server) note(c *Conn, idle bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = idle
+	if idle {
+		c.idleFrom = time.Now()
+	}
+}
+
+func (s *Server) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
+// serve answers one connection's messages in turn.
+func (s *Server) serve(c *Conn, over bool) {
+	for {
+		why, err := s.exchange(c, over)
+		if why != "" {
+			c.End(why, err)
+			return
+		}
+	}
+}
+
+// exchange reads one message and answers it. It returns the reason if the connection ends with it.
+func (s *Server) exchange(c *Conn, over bool) (Reason, error) {
+	c.Within(idleWithin)
+	h, err := c.Ask(func() {
+		s.note(c, false)
+		c.Within(askWithin)
+	})
+	if err != nil {
+		return s.unread(c, err)
+	}
+	body, err := protocol.AskBody(&h)
+	if err != nil {
+		return s.unread(c, err)
+	}
+	if a := s.handler.Check(&h); a != nil {
+		_, err := c.Body(body, protocol.MostBody)
+		if err != nil && Blame(err) != Malformed {
+			return Blame(err), err
+		}
+		return s.answer(c, a, err != nil || h.Closes() || over)
+	}
+	if h.Expects() && body.Length() <= protocol.MostBody {
+		if err := c.Send(answerWithin, []byte(protocol.Continue)); err != nil {
+			return Blame(err), err
+		}
+	}
+	content, err := c.Body(body, protocol.MostBody)
+	if err != nil {
+		return s.unread(c, err)
+	}
+	came := time.Now()
+	if over {
+		return s.answer(c, s.handler.Overfull(), true)
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	stop := c.Attend(func(err error) { cancel(fmt.Errorf("%w: %w", errClientLeft, err)) })
+	a := s.handler.Serve(ctx, &h, content, came)
+	stop()
+	if a == nil {
+		return ClientLeft, context.Cause(ctx)
+	}
+	return s.answer(c, a, h.Closes())
+}
+
+// unread ends a connection with what is on it, with an answer if the client may still read one.
+func (s *Server) unread(c *Conn, err error) (Reason, error) {
+	why := Blame(err)
+	switch {
+	case why == TooSlow && c.in.Len() == 0 && s.isStopping():
+		return Ending, nil
+	case why == TooSlow && c.in.Len() == 0:
+		return IdleRetired, nil
+	case why == Malformed, why == TooSlow:
+		if _, sent := s.answer(c, s.handler.Broken(err), true); sent == nil {
+			c.linger()
+		}
+	case why == PeerClosed:
+		return why, nil
+	}
+	return why, err
+}
+
+// linger lets the client read the answer before a reset for what it still sends throws that away.
+func (c *Conn) linger() {
+	if half, ok := c.nc.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		c.Within(lingerWithin)
+		for n := 0; n < protocol.MostBody/ringSize*2; n++ {
+			c.in.Discard(c.in.Len())
+			if c.fill(false) != nil {
+				return
+			}
+		}
+	}
+}
+
+func (s *Server) answer(c *Conn, a *protocol.Answer, closes bool) (Reason, error) {
+	closes = closes || s.isStopping()
+	if err := c.Send(answerWithin, protocol.AppendAnswerHead(nil, a, closes), a.Body); err != nil {
+		return Blame(err), err
+	}
+	if closes {
+		return Asked, nil
+	}
+	s.note(c, true)
+	if s.isStopping() { // it was told so while the answer went out
+		return Ending, nil
+	}
+	return "", nil
+}
