Hold idle and draining connections to one lock; test the facade

Checked by reading: a connection that turned idle just as the process ends was waited for as long as usual (75 s), since the bound on its reading was set outside the lock (server.go, exchange). A connection budget that is used up no longer counts against the worker.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -19,7 +19,7 @@
 	sampleMost  = 128    // own hints behind the cut points: older ones drop out
 	sampleLeast = 50     // hints before lanes are cut
 	passOver    = 2.0    // of the mean in flight per worker in the lane, taken as half a job at the least
-	coldMargin  = 0.7    // of a cold worker's budget is kept back: hints are rough, and a slot may be half a core
+	coldMargin  = 0.7    // of a cold worker's budget is kept back: hints are rough, a slot may be half a core
 	hintTrust   = 0.5    // of the wait that a hint allows: hints are rough
 	shareSample = 16     // landings of a customer within its share that tell its traffic from chance
 	shareMargin = 1.5    // of a customer's share is let pass as chance
--- a/decide/facade.go
+++ b/decide/facade.go
@@ -114,24 +114,29 @@
 		select {
 		case <-t.ready:
 		case <-ctx.Done():
-			t.f.with(func(d *Dispatcher) {
-				if !t.over {
-					t.over = true
-					d.Left(t.inv, -1)
-				}
-				for _, c := range t.choices { // nobody will send these any more
-					if c.Do == Send {
-						t.ended(c.N, Moot)
-					}
-				}
-				t.choices = nil
-				t.release()
-			})
+			t.leave()
 			return Choice{}, context.Cause(ctx)
 		}
 	}
 }
 
+// leave ends the invocation without an answer.
+func (t *Ticket) leave() {
+	t.f.with(func(d *Dispatcher) {
+		if !t.over {
+			t.over = true
+			d.Left(t.inv, -1)
+		}
+		for _, c := range t.choices { // nobody will send these any more
+			if c.Do == Send {
+				t.ended(c.N, Moot)
+			}
+		}
+		t.choices = nil
+		t.release()
+	})
+}
+
 func (t *Ticket) next() (Choice, bool) {
 	t.f.mu.Lock()
 	defer t.f.mu.Unlock()
@@ -288,8 +293,14 @@
 // ReportListLost tells that the list could not be had, or is no longer followed.
 func (f *Facade) ReportListLost() { f.with((*Dispatcher).ListFailed) }
 
-// ReportPeer takes what a peer tells of a worker.
-func (f *Facade) ReportPeer(from Peer, l Load) { f.with(func(d *Dispatcher) { d.Heard(from, l) }) }
+// ReportPeer takes what a peer tells of a worker. One whose list is on its way to the rules is not known yet.
+func (f *Facade) ReportPeer(from Peer, l Load) {
+	f.with(func(d *Dispatcher) {
+		if int(l.Tgt) < len(d.hash) {
+			d.Heard(from, l)
+		}
+	})
+}
 
 // ReportLoad takes a worker's load report.
 func (f *Facade) ReportLoad(w Worker, values []float64) {
--- /dev/null
+++ b/decide/facade_test.go
@@ -0,0 +1,140 @@
+package decide
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// facadeOf has n warm workers and a clock that the test sets.
+func facadeOf(t Terms, n int) (*Facade, *Time) {
+	now := Time(100 * Second)
+	f := NewFacade(t, 1, func() Time { return now }, func(string) {})
+	var list []Entry
+	for w := range n {
+		list = append(list, Entry{Tgt: Worker(w), ID: fmt.Sprintf("w%d", w), Zone: Zone(w % 2), Cell: Cell(w)})
+	}
+	f.ReportList(list, true, false)
+	return f, &now
+}
+
+func pick(t *testing.T, ticket *Ticket) Choice {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	c, err := ticket.Pick(ctx)
+	assert.NoError(t, err)
+	return c
+}
+
+func TestPickSendsAndThenAnswersWithTheForwardThatSucceeded(t *testing.T) {
+	f, _ := facadeOf(someTerms, 2)
+	ticket := f.Land(Landing{Grace: 3 * Second})
+	c := pick(t, ticket)
+	assert.Equal(t, Send, c.Do)
+	assert.NoError(t, c.Ctx.Err())
+	assert.True(t, ticket.Report(c.N, Succeeded))
+	assert.Equal(t, Choice{Do: AnswerFound, N: c.N}, pick(t, ticket))
+	assert.Equal(t, 0, f.Open())
+	assert.False(t, ticket.Report(c.N, Succeeded), "a second report counts for nothing")
+}
+
+func TestPickThrottlesWhereThereIsNoWorkerInTime(t *testing.T) {
+	f, now := facadeOf(someTerms, 0)
+	ticket := f.Land(Landing{Grace: 3 * Second})
+	*now += 3 * Second
+	f.with(func(*Dispatcher) {})
+	assert.Equal(t, AnswerThrottled, pick(t, ticket).Do)
+	assert.Equal(t, 0, f.Open())
+}
+
+func TestMayHaveRunEndsANonIdempotentInvocationAsErrored(t *testing.T) {
+	f, _ := facadeOf(someTerms, 4)
+	ticket := f.Land(Landing{Operation: 1, Grace: 3 * Second})
+	ticket.Report(pick(t, ticket).N, Reset)
+	assert.Equal(t, AnswerErrored, pick(t, ticket).Do)
+}
+
+func TestNeverRanLetsANonIdempotentInvocationBeSentAgain(t *testing.T) {
+	f, _ := facadeOf(someTerms, 4)
+	ticket := f.Land(Landing{Operation: 1, Grace: 3 * Second})
+	ticket.Report(pick(t, ticket).N, NoConnection)
+	assert.Equal(t, Send, pick(t, ticket).Do)
+}
+
+func TestClientThatLeavesCallsItsForwardsOff(t *testing.T) {
+	f, _ := facadeOf(someTerms, 2)
+	ticket := f.Land(Landing{Grace: 3 * Second})
+	c := pick(t, ticket)
+	gone, leave := context.WithCancel(context.Background())
+	leave()
+	_, err := ticket.Pick(gone)
+	assert.ErrorIs(t, err, context.Canceled)
+	assert.ErrorIs(t, context.Cause(c.Ctx), ErrCalledOff)
+	assert.Equal(t, 1, f.Open(), "its number is not used again before the forward has reported")
+	ticket.Report(c.N, Cancelled)
+	assert.Equal(t, 0, f.Open())
+}
+
+// Guards against numbers that never come free: a choice that nobody picks has nobody to report it.
+func TestChoiceToSendThatNobodyPickedIsReportedWhenTheClientLeaves(t *testing.T) {
+	f, _ := facadeOf(someTerms, 2)
+	ticket := f.Land(Landing{Grace: 3 * Second})
+	ticket.leave()
+	assert.Equal(t, 0, f.Open())
+	assert.Equal(t, 0, f.d.own[0]+f.d.own[1])
+}
+
+func TestNumbersAreUsedAgain(t *testing.T) {
+	f, _ := facadeOf(someTerms, 2)
+	for range 3 {
+		ticket := f.Land(Landing{Grace: 3 * Second})
+		assert.Equal(t, Inv(0), ticket.inv)
+		ticket.Report(pick(t, ticket).N, Succeeded)
+		pick(t, ticket)
+	}
+}
+
+func TestEndByAnswersWhatIsOpenBeforeTheProcessEnds(t *testing.T) {
+	f, now := facadeOf(someTerms, 2)
+	idempotent := f.Land(Landing{Grace: 30 * Second})
+	once := f.Land(Landing{Operation: 1, Grace: 30 * Second})
+	assert.Equal(t, Send, pick(t, idempotent).Do)
+	assert.Equal(t, Send, pick(t, once).Do)
+	f.EndBy(3 * Second)
+	*now += 3 * Second
+	f.with(func(*Dispatcher) {})
+	assert.Equal(t, AnswerThrottled, pick(t, idempotent).Do)
+	assert.Equal(t, AnswerErrored, pick(t, once).Do)
+}
+
+func TestTickGoesThroughTheRulesWhenOneComesDue(t *testing.T) {
+	start := time.Now()
+	f := NewFacade(someTerms, 1, func() Time { return Second + Time(time.Since(start)/100000) }, func(string) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- f.Tick(ctx) }()
+	ticket := f.Land(Landing{Grace: Second / 10})
+	assert.Equal(t, AnswerThrottled, pick(t, ticket).Do, "no worker is known, and no other call is made")
+	cancel()
+	assert.NoError(t, <-ended)
+}
+
+// Guards against a crash: a peer may tell of a worker whose list is still on its way to the rules.
+func TestPeerThatTellsOfAWorkerNotListedYetIsPassedOver(t *testing.T) {
+	f, _ := facadeOf(someTerms, 1)
+	assert.NotPanics(t, func() { f.ReportPeer(1, Load{Tgt: 7, InFlight: 2}) })
+}
+
+func TestNewsForOnePeerGoTogether(t *testing.T) {
+	f, _ := facadeOf(someTerms, 1)
+	l := link{f}
+	l.Tell(1, Load{0, 2})
+	l.Tell(0, Load{0, 2})
+	l.Tell(1, Load{1, 3})
+	news, err := f.PickNews(context.Background())
+	assert.NoError(t, err)
+	assert.Equal(t, []News{{1, []Load{{0, 2}, {1, 3}}}, {0, []Load{{0, 2}}}}, news)
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -65,7 +65,7 @@
 	every                       Time // between messages that repeat, a mean run
 	askForList, cancels, copies bool
 	worst                       Operation // the one that lost the largest share
-	worth, worstWeight          float64   // half its weight: losses come bunched, and weigh on the worst stretch too
+	worth, worstWeight          float64   // half its weight: losses come bunched, and weigh on a stretch too
 	perInv                      float64   // 1 if billed value is for each invocation, 0 if for work
 	probes, peers, startNotes   bool
 	atInFlight, atQueue, atFree int
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -10,7 +10,8 @@
 
 const (
 	start = `{"NewInstance":{"dispatcher":4,"nonce64":18446744073709551615,"setup":{"balancers":1,` +
-		`"shapes":["m"],"fresh_key":7,"operations":[{"repeat":"idempotent","latencyObjectiveS":1,"billedValue":1}],` +
+		`"shapes":["m"],"fresh_key":7,` +
+		`"operations":[{"repeat":"idempotent","latencyObjectiveS":1,"billedValue":1}],` +
 		`"policyLimits":{"maxForwards":3,"mayCancel":true}}}}`
 	list = `{"Inventory":{"rosterId":2,"hosts":[{"worker":"a:1","readiness":"healthy"}]}},` +
 		`{"Discovery":{"dispatcher":4,"mode":"stale_copy","epoch":1,"rosterId":2}}`
@@ -74,7 +75,8 @@
 
 func TestMessagesFromPeersNeverHeardOfAreHarmless(t *testing.T) {
 	for _, octets := range []string{"", "ff", "ffff05", "0000ff0000ff00"} {
-		out, err := play(batch(start, list, `{"Heard":{"dispatcher":4,"sender":99999,"octets":"`+octets+`"}}`, arrival))
+		heard := `{"Heard":{"dispatcher":4,"sender":99999,"octets":"` + octets + `"}}`
+		out, err := play(batch(start, list, heard, arrival))
 		assert.NoError(t, err)
 		assert.Contains(t, out, "Issue")
 	}
--- a/internal/drill/fleet.go
+++ b/internal/drill/fleet.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fastjson"
 
 	"canvasroute/decide"
+	"canvasroute/internal/protocol"
 	"canvasroute/internal/terms"
 )
 
@@ -61,7 +62,7 @@
 		if !known {
 			w = decide.Worker(len(in.names))
 			in.workers[e.name] = w
-			in.names, in.tags = append(in.names, quoted(e.name)), append(in.tags, tag(e.name))
+			in.names, in.tags = append(in.names, quoted(e.name)), append(in.tags, protocol.Tag(e.name))
 			if _, taken := in.tagged[in.tags[w]]; !taken {
 				in.tagged[in.tags[w]] = w
 			}
--- a/internal/drill/peers.go
+++ b/internal/drill/peers.go
@@ -4,7 +4,6 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
-	"hash/fnv"
 
 	"canvasroute/decide"
 )
@@ -12,13 +11,6 @@
 // A message to peers holds three bytes a worker: the tag of its name, and how many forwards are out there.
 const loadBytes = 3
 
-// tag shortens a worker's name. Two that share a tag are told apart by nobody: the first one known is meant.
-func tag(name string) uint16 {
-	h := fnv.New32a()
-	h.Write([]byte(name))
-	return uint16(h.Sum32() ^ h.Sum32()>>16)
-}
-
 // Tell is part of decide.Link.
 func (in *instance) Tell(to decide.Peer, l decide.Load) {
 	text := append(binary.BigEndian.AppendUint16(nil, in.tags[l.Tgt]), byte(min(l.InFlight, 255)))
--- a/internal/program/placement.go
+++ b/internal/program/placement.go
@@ -26,7 +26,6 @@
 	usualSockets  = 1024
 	usualIdle     = 10 * time.Second
 	usualDial     = 250 * time.Millisecond
-	usualAsk      = 10 * time.Second
 	usualTimeout  = 30 * time.Second
 	leastSockets  = 64
 	leastMemoryMB = 16
@@ -203,7 +202,9 @@
 	t, settings := &p.Routing, r.v.Get("settings")
 	t.Position = p.Decisions.Position
 	t.DialWithin = r.span(usualDial, "settings", "policyLimits", "dialTimeoutS")
-	t.AskWithin = r.span(usualAsk, "settings", "rules", "askWithinS")
+	if p.Decisions.ComeBack {
+		t.ComeBackMost = p.Decisions.ComeBackMost.Duration()
+	}
 	for n, o := range settings.GetArray("operations") {
 		op := routing.Operation{Name: string(o.GetStringBytes("name")), Timeout: usualTimeout}
 		if s := o.GetFloat64("clientTimeoutS"); s > 0 {
--- a/internal/protocol/head.go
+++ b/internal/protocol/head.go
@@ -96,7 +96,7 @@
 	return h, used, err
 }
 
-// cutHead finds the first line and the other lines of a head, and how many bytes it takes with its empty line.
+// cutHead finds the first line and the other lines of a head, and how many bytes it takes with its empty one.
 // Empty lines before it are passed over, as some senders end a body with one.
 func cutHead(b []byte) (first, rest string, used int, err error) {
 	skipped := len(b) - len(bytes.TrimLeft(b, "\r\n"))
--- a/internal/protocol/list.go
+++ b/internal/protocol/list.go
@@ -73,7 +73,8 @@
 			s.skip()
 		}
 	})
-	if known := e.State == Ready || e.State == Terminating || e.State == Gone; s.err == nil && (e.ID == "" || !known) {
+	known := e.State == Ready || e.State == Terminating || e.State == Gone
+	if s.err == nil && (e.ID == "" || !known) {
 		s.fail("a worker without name or state")
 	}
 	return e
--- a/internal/protocol/news.go
+++ b/internal/protocol/news.go
@@ -8,8 +8,8 @@
 	"canvasroute/internal/terms"
 )
 
-// A datagram holds the low bits of the time of sending in milliseconds, and for each worker told of the tag of
-// its name and how many forwards are out there.
+// A datagram holds the low bits of the time of sending in milliseconds, and for each worker that it tells of
+// the tag of its name and how many forwards are out there.
 const (
 	stampBytes = 2
 	loadBytes  = 3
--- a/internal/routing/counts.go
+++ b/internal/routing/counts.go
@@ -11,7 +11,7 @@
 // Counts are what has been taken in, sent and answered since the start.
 type Counts struct {
 	Taken, Succeeded, Throttled, Errored, Left, Malformed, Overfull atomic.Int64
-	Sent, NoConnection                                              atomic.Int64
+	Sent                                                            atomic.Int64
 	Probes, Lists, WatchesLost                                      atomic.Int64
 	DatagramsSent, DatagramsFailed, DatagramsHeard                  atomic.Int64
 	DatagramsBroken, Strangers, Overtaken                           atomic.Int64
@@ -20,8 +20,8 @@
 }
 
 var outcomeNames = [decide.Moot + 1]string{decide.Succeeded: "succeeded", decide.WorkerError: "worker_error",
-	decide.Full: "full", decide.TimedOut: "timed_out", decide.NoConnection: "no_connection", decide.Reset: "reset",
-	decide.Cancelled: "called_off", decide.Moot: "never_sent"}
+	decide.Full: "full", decide.TimedOut: "timed_out", decide.NoConnection: "no_connection",
+	decide.Reset: "reset", decide.Cancelled: "called_off", decide.Moot: "never_sent"}
 
 func (c *Counts) outcome(how decide.Outcome) { c.outcomes[how].Add(1) }
 
--- a/internal/routing/fleet.go
+++ b/internal/routing/fleet.go
@@ -3,6 +3,7 @@
 package routing
 
 import (
+	"slices"
 	"sync"
 
 	"canvasroute/decide"
@@ -31,7 +32,7 @@
 var listed = map[string]decide.State{protocol.Ready: decide.Healthy, protocol.Terminating: decide.Draining,
 	protocol.Gone: decide.Gone}
 
-// take turns a list into the decisions' entries. stale names the addresses whose connections are of no more use.
+// take turns a list into the decisions' entries. stale names addresses whose connections are of no more use.
 func (f *fleet) take(l *protocol.List) (entries []decide.Entry, stale []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -58,6 +59,9 @@
 		if was.address != "" && (state != decide.Healthy || w.address != was.address || w.born > was.born) {
 			stale = append(stale, was.address)
 		}
+		if _, known := f.zones[e.Zone]; !known { // not one of those in the settings, nor like any other
+			f.zones[e.Zone] = len(f.zones)
+		}
 		entries = append(entries, decide.Entry{Tgt: n, ID: e.ID, Zone: decide.Zone(f.zones[e.Zone]),
 			Kind: decide.Kind(f.kinds[e.Kind]), Cell: decide.Cell(e.Cell), State: state, Born: w.born})
 	}
@@ -88,6 +92,13 @@
 	return w, ok
 }
 
+// serves tells whether any worker is listed.
+func (f *fleet) serves() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.workers, func(w worker) bool { return !w.gone })
+}
+
 func (f *fleet) listVersion() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/routing/forward.go
+++ b/internal/routing/forward.go
@@ -46,7 +46,10 @@
 		if f.ctx.Err() != nil {
 			return decide.Moot, "", nil
 		}
-		f.r.counts.NoConnection.Add(1)
+		if errors.Is(err, transport.ErrNoPlace) { // that says nothing of the worker
+			f.r.log.Warn().Msg("no connection left in the budget")
+			return decide.Moot, "", nil
+		}
 		f.r.log.Info().Str("side", "worker").Str("addr", f.r.fleet.address(tgt)).Str("reason", "not_up").
 			Err(err).Msg("connection never came up")
 		return decide.NoConnection, "", nil
@@ -105,16 +108,16 @@
 		return transport.Malformed
 	case errors.Is(err, errAsked):
 		return transport.Asked
-	case errors.Is(err, errUnwanted):
-		return transport.Unwanted
+	case errors.Is(err, errEarly):
+		return transport.PeerBroke
 	}
 	return transport.Blame(err)
 }
 
 var (
-	errBroken   = errors.New("broken answer")
-	errUnwanted = errors.New("answer ends without a last line")
-	errAsked    = errors.New("the worker ends the connection")
+	errBroken = errors.New("broken answer")
+	errEarly  = errors.New("answer ends without a last line")
+	errAsked  = errors.New("the worker ends the connection")
 )
 
 // lost is the outcome of a forward that was sent and whose connection brings nothing more.
@@ -133,7 +136,8 @@
 
 // read takes the worker's answer up to the line that ends the forward. With an error the connection is of no
 // more use; without one the rest of body is still to come.
-func (f *attempt) read(conn *transport.Conn) (how decide.Outcome, result string, body protocol.Body, err error) {
+func (f *attempt) read(conn *transport.Conn) (how decide.Outcome, result string, body protocol.Body,
+	err error) {
 	head, err := conn.Answer()
 	if err != nil {
 		return f.lost(err), "", body, err
@@ -179,7 +183,7 @@
 	case how != 0:
 		return how, result, body, nil
 	case err == nil:
-		err = errUnwanted
+		err = errEarly
 	}
 	return f.lost(err), "", body, err
 }
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -10,8 +10,8 @@
 	"canvasroute/internal/protocol"
 )
 
-// overtaken is how far back, in milliseconds, a datagram may have been sent and count as passed by a later one;
-// further back its sender has rather started again or been silent.
+// overtaken is how far back, in milliseconds, a datagram may have been sent and count as passed by a later
+// one; further back its sender has rather started again or been silent.
 const overtaken = 4000
 
 // stamp is the time of the latest datagram from a peer.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -27,7 +27,7 @@
 	Owners, Zones []string
 	Kinds, Report []string
 	DialWithin    time.Duration
-	AskWithin     time.Duration // how long the list may go unasked
+	ComeBackMost  time.Duration // 0 where a throttled client may not be told when to come back
 	Discovery     string
 	Peers         []netip.AddrPort
 	Position      int
@@ -105,7 +105,7 @@
 func (r *Router) Check(h *protocol.Head) *protocol.Answer {
 	switch path := h.Path(); {
 	case path == protocol.PathReady && (h.Method == "GET" || h.Method == "HEAD"):
-		if r.settled.Load() && !r.draining.Load() {
+		if r.settled.Load() && !r.draining.Load() && r.fleet.serves() {
 			return &protocol.Answer{Status: 200}
 		}
 		return &protocol.Answer{Status: 503}
@@ -132,7 +132,7 @@
 // Overfull answers what comes on a connection beyond the budget: it was never sent anywhere.
 func (r *Router) Overfull() *protocol.Answer {
 	r.counts.Overfull.Add(1)
-	return &protocol.Answer{Status: 503}
+	return &protocol.Answer{Status: 503, ComeBack: r.terms.ComeBackMost}
 }
 
 // landing reads what the decisions need to know of an invocation.
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -31,7 +31,7 @@
 	TooSlow      Reason = "too_slow"      // a message did not come, or could not be sent, within its bound
 	OverBudget   Reason = "over_budget"   // it stood idle and its place was needed
 	Silent       Reason = "silent"        // no line came on a watch for too long
-	Unwanted     Reason = "unwanted"      // an answer that says that it never ends well: a status that is no success
+	Unwanted     Reason = "unwanted"      // the list service answered, but not with a list
 	Ending       Reason = "ending"        // this process ends
 )
 
--- a/internal/transport/ring.go
+++ b/internal/transport/ring.go
@@ -38,7 +38,8 @@
 	return n, err
 }
 
-// Bytes is all that is held, in one piece: what runs over the end is moved first. It holds until the next call.
+// Bytes is all that is held, in one piece: what runs over the end is moved first. It is good until the next
+// call.
 func (r *Ring) Bytes() []byte {
 	if r.start+r.n > len(r.buf) {
 		whole := make([]byte, len(r.buf))
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -44,7 +44,8 @@
 
 	mu       sync.Mutex
 	conns    map[*Conn]bool // true while it stands idle between messages
-	stopping bool
+	stopping bool           // each answer is the last one of its connection
+	retired  bool           // and idle connections end
 }
 
 // errClientLeft is the cause of an invocation's context that its client has ended.
@@ -84,7 +85,9 @@
 			spare <- struct{}{}
 		}
 		c := newConn(nc, Client, nc.RemoteAddr().String(), s.log, nil)
-		s.note(c, true)
+		if s.stand(c, idleWithin); over {
+			s.stand(c, answerWithin) // its place is one of few
+		}
 		conns.Go(func() error {
 			s.serve(c, over)
 			s.mu.Lock()
@@ -104,7 +107,7 @@
 func (s *Server) Retire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopping = true
+	s.stopping, s.retired = true, true
 	for c, idle := range s.conns {
 		if idle {
 			c.Within(crossWithin)
@@ -141,13 +144,23 @@
 	}
 }
 
-func (s *Server) note(c *Conn, idle bool) {
+// stand marks a connection idle, within the time that it may be now. It is one step with the look at whether
+// all are to end: else one that turns idle just then would be waited for as long as usual.
+func (s *Server) stand(c *Conn, within time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.conns[c] = idle
-	if idle {
-		c.idleFrom = time.Now()
+	s.conns[c], c.idleFrom = true, time.Now()
+	if s.retired {
+		within = crossWithin
 	}
+	c.Within(within)
+}
+
+func (s *Server) busy(c *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = false
+	c.Within(askWithin)
 }
 
 func (s *Server) isStopping() bool {
@@ -169,11 +182,7 @@
 
 // exchange reads one message and answers it. It returns the reason if the connection ends with it.
 func (s *Server) exchange(c *Conn, over bool) (Reason, error) {
-	c.Within(idleWithin)
-	h, err := c.Ask(func() {
-		s.note(c, false)
-		c.Within(askWithin)
-	})
+	h, err := c.Ask(func() { s.busy(c) })
 	if err != nil {
 		return s.unread(c, err)
 	}
@@ -251,9 +260,6 @@
 	if closes {
 		return Asked, nil
 	}
-	s.note(c, true)
-	if s.isStopping() { // it was told so while the answer went out
-		return Ending, nil
-	}
+	s.stand(c, idleWithin)
 	return "", nil
 }
