Ask for the list on sockets whatever the settings say; test each layer

Seen in a new test of the whole program: a dispatcher whose settings say that the list tells by itself never asked for it, and so was never ready; on sockets the service tells only who watches. The configuration now says so to the decisions, and the time between calls has a default (placement.go, parse).

Each layer has small tests on loopback: heads, chunks, lines and lists however they arrive; what a worker answers as an outcome; the pool, the budget of connections, the drain at SIGTERM, and keys named by bad configuration.

--- a/internal/program/placement.go
+++ b/internal/program/placement.go
@@ -26,6 +26,7 @@
 	usualSockets  = 1024
 	usualIdle     = 10 * time.Second
 	usualDial     = 250 * time.Millisecond
+	usualAsk      = 10 * time.Second
 	usualTimeout  = 30 * time.Second
 	leastSockets  = 64
 	leastMemoryMB = 16
@@ -75,6 +76,9 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	r := reader{v: v, getenv: getenv}
+	// On sockets the list service never tells by itself, whatever the settings say of it.
+	p.Decisions.AskForList = true
+	p.Decisions.AskWithin = terms.Span(r.span(usualAsk, "settings", "rules", "askWithinS").Seconds())
 	p.Name = r.text("LB_NAME", "name")
 	p.Listen = r.address("LB_LISTEN", "listen").String()
 	p.Routing.Discovery = r.address("LB_DISCOVERY", "discovery").String()
--- /dev/null
+++ b/internal/program/program_test.go
@@ -0,0 +1,189 @@
+package program
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+)
+
+const configuration = `{"name":"n3","listen":"127.0.0.1:8080","discovery":"127.0.0.1:8500",
+"seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"peer_listen":"127.0.0.1:7946",
+"peers":["127.0.0.1:7946","127.0.0.2:7946"],"peers_all":"127.3.255.1:7946",
+"known":{"seq":41,"whole":true,"hosts":[
+{"host":"s-1","dial":"127.0.0.3:8080","site":"a","class":"m","health":"Ready"}]},
+"settings":{"balancers":2,"shapes":["m"],"zones":["a"],"operations":[{"name":"render","repeat":"idempotent",
+"latencyObjectiveS":1,"clientTimeoutS":2.5,"billedValue":1}],
+"policyLimits":{"peers":true,"maxForwards":3,"mayCancel":true,"connIdleS":8,"dialTimeoutS":0.2,
+"retryAfter":true,"maxRetryAfterS":2}}}`
+
+func environment(pairs ...string) func(string) string {
+	return func(key string) string {
+		for n := 0; n < len(pairs); n += 2 {
+			if pairs[n] == key {
+				return pairs[n+1]
+			}
+		}
+		return ""
+	}
+}
+
+func TestConfigurationIsReadAndDefaulted(t *testing.T) {
+	p, err := parse([]byte(configuration), environment("LB_NAME", "other"))
+	assert.NoError(t, err)
+	assert.Equal(t, []any{"other", "127.0.0.1:8080", "127.0.0.1:8500", uint64(0x8c1f30d27a5be964),
+		8 * time.Second},
+		[]any{p.Name, p.Listen, p.Routing.Discovery, p.Seed, p.Idle})
+	assert.Equal(t, []any{200 * time.Millisecond, 2500 * time.Millisecond, 2 * time.Second, 2, int64(41)},
+		[]any{p.Routing.DialWithin, p.Longest, p.Routing.ComeBackMost, len(p.Routing.Peers),
+			p.Routing.Known.Version})
+	bare := strings.NewReplacer(`"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},`, "", `"connIdleS":8,`,
+		"",
+		`"dialTimeoutS":0.2,`, "", `"clientTimeoutS":2.5,`, "").Replace(configuration)
+	p, err = parse([]byte(bare), environment())
+	assert.NoError(t, err)
+	assert.Equal(t, []any{usualIdle, usualDial, usualTimeout, usualSockets, usualMemoryMB},
+		[]any{p.Idle, p.Routing.DialWithin, p.Longest, p.Sockets, p.MemoryMB})
+}
+
+func TestBadConfigurationIsRefusedByTheNameOfTheKey(t *testing.T) {
+	for _, c := range []struct{ old, with, want string }{
+		{`"name":"n3"`, `"name":7`, "name: must be a text"},
+		{`"listen":"127.0.0.1:8080"`, `"listen":"here"`, `listen: "here" is not an address`},
+		{`"discovery":"127.0.0.1:8500",`, ``, "discovery: must be a text"},
+		{`8c1f30d27a5be964`, `xyz`, "seed:"},
+		{`"memory_mb":192`, `"memory_mb":1`, "limits.memory_mb: 1"},
+		{`"sockets":1024`, `"sockets":"many"`, `limits.sockets: "many"`},
+		{`"cores":1.0`, `"cores":0`, "limits.cores: 0"},
+		{`"peer_listen":"127.0.0.1:7946"`, `"peer_listen":""`, "peer_listen: must be a text"},
+		{`,"127.0.0.2:7946"`, ``, "peers: 1 addresses for settings.balancers 2"},
+		{`,"127.0.0.2:7946"`, `,"x"`, `peers[1]: "x" is not`},
+		{`"seq":41`, `"seq":"x"`, "known:"},
+		{`"connIdleS":8`, `"connIdleS":-1`, "settings.policyLimits.connIdleS: -1"},
+		{`"zones":["a"]`, `"zones":[1]`, "settings.zones[0]: must be a text"},
+		{`"name":"render"`, `"name":""`, "settings.operations[0].name: must be a text"},
+		{`"repeat":"idempotent"`, `"repeat":"often"`, `settings: operations[0]: unknown repeat "often"`},
+		{`"balancers":2`, `"balancers":0`, "settings: balancers: 0"},
+		{`"settings":`, `"other":`, "settings: not an object"},
+		{`{"name"`, `["name"`, "not JSON"},
+	} {
+		assert.Contains(t, configuration, c.old)
+		_, err := parse([]byte(strings.Replace(configuration, c.old, c.with, 1)), environment())
+		assert.ErrorContains(t, err, c.want)
+	}
+	_, err := parse([]byte(configuration), environment("LB_LISTEN", "nowhere"))
+	assert.ErrorContains(t, err, "LB_LISTEN")
+	_, err = Read(environment())
+	assert.ErrorContains(t, err, "LB_CONFIG: not set")
+	_, err = Read(environment("LB_CONFIG", filepath.Join(t.TempDir(), "none")))
+	assert.ErrorIs(t, err, os.ErrNotExist)
+}
+
+// syncBuffer is a log that is read while it is written.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// running starts a dispatcher with one worker, which answers after a wait, and a list service that is down.
+func running(t *testing.T, wait time.Duration) (url string, log *syncBuffer, ended <-chan error) {
+	worker := http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(wait):
+		case <-r.Context().Done():
+		}
+		json.NewEncoder(w).Encode(map[string]string{"id": r.Header.Get("Req-Id"), "state": "done",
+			"result": "made"})
+	})}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	go worker.Serve(ln)
+	t.Cleanup(func() { worker.Close() })
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	free.Close()
+	p, err := parse([]byte(configuration), environment("LB_LISTEN", free.Addr().String(), "LB_DISCOVERY",
+		"127.0.0.1:9"))
+	assert.NoError(t, err)
+	p.Decisions.Peers, p.Routing.Known.Entries[0].Address, p.Longest = false, ln.Addr().String(), time.Second
+	log, end := &syncBuffer{}, make(chan error, 1)
+	go func() { end <- Run(p, zerolog.New(log)) }()
+	url = "http://" + p.Listen
+	assert.Eventually(t, func() bool {
+		a, err := http.Get(url + "/_health")
+		if err != nil {
+			return false
+		}
+		a.Body.Close()
+		return a.StatusCode == 200
+	}, 5*time.Second, 10*time.Millisecond, "ready once the list service has failed to answer")
+	return url, log, end
+}
+
+func invoke(t *testing.T, url string) (status int, body string) {
+	q, err := http.NewRequest("POST", url+"/api", strings.NewReader("x"))
+	assert.NoError(t, err)
+	q.Header.Set("Req-Id", "a1")
+	q.Header.Set("Req-Kind", "render")
+	a, err := http.DefaultClient.Do(q)
+	if !assert.NoError(t, err) {
+		return 0, ""
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	assert.NoError(t, err)
+	return a.StatusCode, string(b)
+}
+
+func TestSigtermAnswersAllThatWasTakenAndThenEnds(t *testing.T) {
+	for _, c := range []struct {
+		wait   time.Duration
+		status int
+		body   string
+	}{{300 * time.Millisecond, 200, "made"}, {time.Minute, 429, ""}} {
+		url, log, ended := running(t, c.wait)
+		answered := make(chan struct{})
+		go func() {
+			defer close(answered)
+			status, body := invoke(t, url)
+			assert.Equal(t, []any{c.status, c.body}, []any{status, body})
+		}()
+		assert.Eventually(t, func() bool {
+			assert.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGUSR1))
+			return strings.Contains(log.String(), `"forwards":{"sent":1`)
+		}, 5*time.Second, 20*time.Millisecond, "the counters are printed when asked for")
+		assert.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+		<-answered
+		select {
+		case err := <-ended:
+			assert.NoError(t, err)
+		case <-time.After(5 * time.Second):
+			t.Fatal("it does not end")
+		}
+		assert.Contains(t, log.String(), `"why":"exit","open":0,"taken":1`)
+	}
+}
--- /dev/null
+++ b/internal/routing/forward_test.go
@@ -0,0 +1,204 @@
+package routing
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+
+	"canvasroute/decide"
+	"canvasroute/internal/protocol"
+	"canvasroute/internal/transport"
+)
+
+// standIn takes forwards, and plays what answer does with each connection once a forward is whole.
+func standIn(t *testing.T, answer func(c net.Conn, r *http.Request)) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					answer(c, r)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// says answers each forward with the same text, and ends the connection if it is told to.
+func says(text string, ends bool) func(net.Conn, *http.Request) {
+	return func(c net.Conn, _ *http.Request) {
+		io.WriteString(c, text)
+		if ends {
+			c.Close()
+		}
+	}
+}
+
+func chunked(lines ...string) string {
+	text := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, l := range lines {
+		text += fmt.Sprintf("%x\r\n%s\n\r\n", len(l)+1, l)
+	}
+	return text
+}
+
+const (
+	started = `{"id":"a1","from":"w","state":"started"}`
+	done    = `{"id":"a1","from":"w","state":"done","result":"r"}`
+	last    = "0\r\n\r\n"
+)
+
+// routerTo has one worker at an address, and two operations, the second one non-idempotent.
+func routerTo(t *testing.T, addr string) *Router {
+	now := time.Now()
+	terms := decide.Terms{Dispatchers: 2, Kinds: 1, ForwardsMost: 1, MayCancel: true,
+		Customers:   []decide.CustomerTerms{{Quota: 1e9}},
+		Granularity: 20, ReportInFlight: -1, ReportQueue: -1, ReportFree: -1, Operations: []decide.OperationTerms{
+			{Objective: decide.Second, Value: 1, Kind: -1}, {Objective: decide.Second, Value: 1, Kind: -1,
+				Repeat: decide.NonIdempotent}}}
+	f := decide.NewFacade(terms, 1, func() decide.Time { return decide.Second + spanOf(time.Since(now)) },
+		func(string) {})
+	return New(Terms{Operations: []Operation{{"idem", 2 * time.Second}, {"once", 2 * time.Second}},
+		DialWithin: time.Second,
+		Peers: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:7001"),
+			netip.MustParseAddrPort("127.0.0.2:7001")},
+		FromUnix: func(ms float64) decide.Time { return decide.Time(ms * 10) },
+		Known: &protocol.List{Version: 7, Whole: true, Entries: []protocol.Entry{{ID: "w", Address: addr,
+			State: protocol.Ready}}},
+	}, f, transport.NewPool(4, time.Minute, zerolog.Nop()), nil, zerolog.Nop())
+}
+
+func invocation(operation string) *protocol.Head {
+	h, _, err := protocol.ParseAsk([]byte("POST /api HTTP/1.1\r\nReq-Id: a1\r\nReq-Deadline: 2\r\nReq-Kind: " +
+		operation + "\r\n\r\n"))
+	if err != nil {
+		panic(err)
+	}
+	return &h
+}
+
+// outcome is what one forward to addr comes to.
+func outcome(t *testing.T, addr string, ctx context.Context) (decide.Outcome, string, int) {
+	r, starts := routerTo(t, addr), 0
+	inv, err := protocol.ParseInvocation(invocation("idem"))
+	assert.NoError(t, err)
+	f := &attempt{r: r, ctx: ctx, inv: inv, until: time.Now().Add(time.Second), started: func() { starts++ }}
+	how, result, finish := f.run(0)
+	if finish != nil {
+		finish()
+	}
+	return how, result, starts
+}
+
+func TestWhatAWorkerAnswersIsAnOutcome(t *testing.T) {
+	line := func(state string) string { return `{"id":"a1","state":"` + state + `"}` }
+	for name, c := range map[string]struct {
+		text string
+		ends bool
+		want decide.Outcome
+	}{
+		"done":                  {chunked(started, done) + last, false, decide.Succeeded},
+		"done, then broken":     {chunked(started, done), true, decide.Succeeded},
+		"done without line end": {"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n" + done, false, decide.Succeeded},
+		"done until the end":    {"HTTP/1.0 200 OK\r\n\r\n" + started + "\n" + done + "\n", true, decide.Succeeded},
+		"failed":                {chunked(started, line("failed")) + last, false, decide.WorkerError},
+		"500":                   {"HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\nno", false, decide.WorkerError},
+		"returned":              {chunked(line("returned")) + last, false, decide.Full},
+		"declined": {"HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", false,
+			decide.Full},
+		"declined and closed": {"HTTP/1.1 504 No\r\nSrv-Declined: 1\r\nConnection: close\r\n\r\n", true,
+			decide.Full},
+		"503 of another sort":  {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", false, decide.WorkerError},
+		"lost":                 {chunked(started, line("lost")) + last, false, decide.Reset},
+		"broken before a head": {"", true, decide.Reset},
+		"broken in the head":   {"HTTP/1.1 200", true, decide.Reset},
+		"broken after a start": {chunked(started), true, decide.Reset},
+		"ended without a last": {chunked(started, line("running")) + last, false, decide.Reset},
+		"no HTTP":              {"SSH-2.0-x\r\n\r\n", false, decide.WorkerError},
+		"bad chunk": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", false,
+			decide.WorkerError},
+		"no JSON":               {chunked("<html>") + last, false, decide.WorkerError},
+		"of another invocation": {chunked(strings.Replace(done, "a1", "b2", 1)) + last, false, decide.WorkerError},
+		"endless head":          {"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("a", 20000), false, decide.WorkerError},
+		"endless line":          {chunked(strings.Repeat("a", protocol.MostLine)), false, decide.WorkerError},
+	} {
+		how, result, _ := outcome(t, standIn(t, says(c.text, c.ends)), context.Background())
+		assert.Equal(t, c.want, how, name)
+		assert.Equal(t, how == decide.Succeeded, result == "r", name)
+	}
+}
+
+func TestStartIsTold(t *testing.T) {
+	_, _, starts := outcome(t, standIn(t, says(chunked(started, done)+last, false)), context.Background())
+	assert.Equal(t, 1, starts)
+}
+
+func TestForwardThatNeverCameUpNeverRan(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	ln.Close()
+	how, _, _ := outcome(t, ln.Addr().String(), context.Background())
+	assert.Equal(t, decide.NoConnection, how)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	how, _, _ = outcome(t, standIn(t, says("", true)), ctx)
+	assert.Equal(t, decide.Moot, how, "called off before anything was sent")
+}
+
+func TestForwardCalledOffClosesItsConnection(t *testing.T) {
+	ended := make(chan error, 1)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	addr := standIn(t, func(c net.Conn, _ *http.Request) {
+		cancel(decide.ErrCalledOff)
+		_, err := c.Read(make([]byte, 1))
+		ended <- err
+	})
+	how, _, _ := outcome(t, addr, ctx)
+	assert.Equal(t, decide.Cancelled, how)
+	assert.ErrorIs(t, <-ended, io.EOF)
+}
+
+func TestSilentWorkerIsWaitedForUntilTheTimeIsUp(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	how, _, _ := outcome(t, standIn(t, func(c net.Conn, _ *http.Request) { c.Read(make([]byte, 1)) }), ctx)
+	assert.Equal(t, decide.TimedOut, how)
+}
+
+func TestConnectionIsUsedAgainAfterAWholeAnswer(t *testing.T) {
+	r := routerTo(t, standIn(t, says(chunked(done)+last, false)))
+	for range 2 {
+		a := r.Serve(context.Background(), invocation("idem"), nil, time.Now())
+		assert.Equal(t, &protocol.Answer{Status: 200, Body: []byte("r")}, a)
+		r.forwards.Wait()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	c, err := r.pool.Get(ctx, r.fleet.address(0))
+	assert.NoError(t, err)
+	assert.True(t, c.Reused())
+}
--- /dev/null
+++ b/internal/routing/router_test.go
@@ -0,0 +1,158 @@
+package routing
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"canvasroute/internal/protocol"
+)
+
+func TestInvocationsThatCannotBeTakenAreAnswered(t *testing.T) {
+	r := routerTo(t, "127.0.0.1:1")
+	assert.Equal(t, 400, r.Serve(context.Background(), invocation("unheard-of"), nil, time.Now()).Status)
+	assert.Equal(t, 400, r.Serve(context.Background(), &protocol.Head{Method: "POST"}, nil, time.Now()).Status)
+	r.owners["o"] = 0
+	assert.Equal(t, 400, r.Serve(context.Background(), invocation("idem"), nil, time.Now()).Status, "no owner")
+	assert.Equal(t, int64(0), r.counts.Taken.Load())
+	assert.Equal(t, int64(3), r.counts.Malformed.Load())
+}
+
+func TestPathsAndMethods(t *testing.T) {
+	r := routerTo(t, "127.0.0.1:1")
+	for target, want := range map[string]int{"/": 404, "/api/x": 404, "/_health?x": 405} {
+		assert.Equal(t, want, r.Check(&protocol.Head{Method: "POST", Target: target}).Status, target)
+	}
+	assert.Nil(t, r.Check(&protocol.Head{Method: "POST", Target: "/api?x=1"}))
+	assert.Equal(t, &protocol.Answer{Status: 405, Allow: "POST"}, r.Check(&protocol.Head{Method: "PUT",
+		Target: "/api"}))
+}
+
+func TestHealthIsGoodOnlyWhenReady(t *testing.T) {
+	r, h := routerTo(t, "127.0.0.1:1"), &protocol.Head{Method: "GET", Target: "/_health"}
+	assert.Equal(t, 503, r.Check(h).Status, "the list has not been asked for yet")
+	r.settled.Store(true)
+	assert.Equal(t, 200, r.Check(h).Status)
+	r.fleet.take(&protocol.List{Whole: true})
+	assert.Equal(t, 503, r.Check(h).Status, "there is no worker")
+	r.fleet.take(&protocol.List{Entries: []protocol.Entry{{ID: "w", State: protocol.Ready}}})
+	r.Drain(time.Second)
+	assert.Equal(t, 503, r.Check(h).Status, "it drains")
+}
+
+func TestClientThatLeavesGetsNoAnswer(t *testing.T) {
+	ctx, leave := context.WithCancel(context.Background())
+	r := routerTo(t, standIn(t, func(c net.Conn, _ *http.Request) {
+		leave()
+		c.Read(make([]byte, 1))
+	}))
+	assert.Nil(t, r.Serve(ctx, invocation("idem"), nil, time.Now()))
+	r.forwards.Wait()
+	assert.Equal(t, 0, r.facade.Open())
+}
+
+func TestWorkerThatBreaksEndsANonIdempotentInvocationAsErrored(t *testing.T) {
+	r := routerTo(t, standIn(t, says("", true)))
+	assert.Equal(t, 502, r.Serve(context.Background(), invocation("once"), nil, time.Now()).Status)
+}
+
+func TestWorkerThatDeclinesLetsANonIdempotentInvocationBeThrottled(t *testing.T) {
+	r := routerTo(t, standIn(t, says("HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", false)))
+	assert.Equal(t, 429, r.Serve(context.Background(), invocation("once"), nil, time.Now()).Status)
+}
+
+func TestListNamesConnectionsOfNoMoreUse(t *testing.T) {
+	r := routerTo(t, "127.0.0.1:1")
+	take := func(whole bool, e ...protocol.Entry) []string {
+		_, stale := r.fleet.take(&protocol.List{Version: 8, Whole: whole, Entries: e})
+		return stale
+	}
+	w := protocol.Entry{ID: "w", Address: "127.0.0.1:1", State: protocol.Ready}
+	assert.Empty(t, take(false, w), "nothing has changed")
+	w.BornMs = 1000
+	assert.Equal(t, []string{"127.0.0.1:1"}, take(false, w), "it has restarted")
+	w.Address = "127.0.0.1:2"
+	assert.Equal(t, []string{"127.0.0.1:1"}, take(false, w), "it has moved")
+	assert.Equal(t, "127.0.0.1:2", r.fleet.address(0))
+	w.State = protocol.Terminating
+	assert.Equal(t, []string{"127.0.0.1:2"}, take(false, w), "it drains")
+	assert.Equal(t, []string{"127.0.0.1:2"}, take(true), "it is listed no more")
+	assert.Empty(t, take(true))
+	assert.Equal(t, int64(8), r.fleet.listVersion())
+}
+
+// Guards against two zones taken for one: a dedup group would be too large.
+func TestZonesThatTheSettingsDoNotNameAreUnlikeAllOthers(t *testing.T) {
+	r := routerTo(t, "127.0.0.1:1")
+	r.fleet.zones = numbered([]string{"a"})
+	entries, _ := r.fleet.take(&protocol.List{Entries: []protocol.Entry{{ID: "1", Zone: "a",
+		State: protocol.Ready},
+		{ID: "2", Zone: "x", State: protocol.Ready}, {ID: "3", Zone: "y", State: protocol.Ready}}})
+	assert.NotEqual(t, entries[0].Zone, entries[1].Zone)
+	assert.NotEqual(t, entries[1].Zone, entries[2].Zone)
+}
+
+func TestDatagramsThatAreDroppedAndCounted(t *testing.T) {
+	r := routerTo(t, "127.0.0.1:1")
+	peer := r.terms.Peers[1]
+	news := func(at uint16) []byte {
+		return protocol.AppendNews(nil, at, []protocol.Load{{Tag: protocol.Tag("w"), InFlight: 3}})
+	}
+	r.hear(peer, news(5))
+	r.hear(peer, news(65530)) // sent before, by a clock that has gone round
+	r.hear(peer, news(6))
+	r.hear(peer, news(40000)) // far off: it has started again
+	r.hear(peer, []byte("ab"))
+	r.hear(netip.MustParseAddrPort("127.0.0.9:7001"), news(7))
+	r.hear(r.terms.Peers[0], news(7)) // our own address
+	c := &r.counts
+	assert.Equal(t, []int64{3, 1, 1, 2}, []int64{c.DatagramsHeard.Load(), c.Overtaken.Load(),
+		c.DatagramsBroken.Load(),
+		c.Strangers.Load()})
+}
+
+// watched makes one call to a list service that answers with text, and returns how it ended.
+func watched(t *testing.T, text string, ends bool) (*Router, string) {
+	asked := make(chan string, 1)
+	r := routerTo(t, "127.0.0.1:1")
+	r.terms.Discovery = standIn(t, func(c net.Conn, q *http.Request) {
+		asked <- q.URL.String()
+		says(text, ends)(c, q)
+	})
+	err := r.watch(context.Background())
+	assert.Equal(t, "/catalog/members?stream=1&index=7", <-asked)
+	return r, err.Error()
+}
+
+func TestWatchTakesLinesUntilItEnds(t *testing.T) {
+	r, err := watched(t,
+		chunked(`{"seq":9,"whole":false,"hosts":[{"host":"v","dial":"127.0.0.1:2","health":"Ready"}]}`, "")+last,
+		false)
+	assert.Contains(t, err, "has ended")
+	assert.Equal(t, int64(9), r.fleet.listVersion())
+	assert.Equal(t, "127.0.0.1:2", r.fleet.address(1))
+	assert.True(t, r.settled.Load())
+}
+
+func TestWatchesThatFail(t *testing.T) {
+	for text, want := range map[string]string{
+		"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n": "status 503", chunked(`{"seq":`): "malformed", "": "EOF",
+		chunked("") + "1": "within a message",
+	} {
+		r, err := watched(t, text, true)
+		assert.Contains(t, err, want)
+		assert.Equal(t, int64(7), r.fleet.listVersion())
+	}
+}
+
+func TestSilentWatchIsGivenUp(t *testing.T) {
+	began := time.Now()
+	_, err := watched(t, chunked(`{"seq":9,"whole":false,"hosts":[]}`), false)
+	assert.Contains(t, err, "timeout")
+	assert.InDelta(t, silentAfter.Seconds(), time.Since(began).Seconds(), 1)
+}
--- /dev/null
+++ b/internal/transport/conn_test.go
@@ -0,0 +1,144 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+
+	"canvasroute/internal/protocol"
+)
+
+// pair is a connection under test and the other end of it, on loopback.
+func pair(t *testing.T) (*Conn, *net.TCPConn, *bytes.Buffer) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	defer ln.Close()
+	other, err := net.Dial("tcp", ln.Addr().String())
+	assert.NoError(t, err)
+	nc, err := ln.Accept()
+	assert.NoError(t, err)
+	log := &bytes.Buffer{}
+	c := newConn(nc, Worker, "w", zerolog.New(log), nil)
+	t.Cleanup(func() { c.End(Ending, nil); other.Close() })
+	return c, other.(*net.TCPConn), log
+}
+
+func TestRingHandsOutWhatRunsOverItsEndInOnePiece(t *testing.T) {
+	r := NewRing(8)
+	assert.Equal(t, 6, r.Write([]byte("abcdef")))
+	r.Discard(4)
+	assert.Equal(t, 6, r.Write([]byte("ghijklmn")), "no more than fits")
+	assert.True(t, r.Full())
+	assert.Equal(t, "efghijkl", string(r.Bytes()))
+	var out bytes.Buffer
+	r.Discard(1)
+	assert.Equal(t, 1, r.Write([]byte("m")))
+	assert.NoError(t, r.Drain(&out))
+	assert.Equal(t, "fghijklm", out.String())
+	_, err := r.Fill(strings.NewReader("xyz"))
+	assert.NoError(t, err)
+	assert.Equal(t, "xyz", string(r.Bytes()))
+}
+
+func TestAnswerThatComesInPieces(t *testing.T) {
+	c, other, _ := pair(t)
+	go func() {
+		text := "HTTP/1.1 103 Early\r\n\r\n" +
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+		for n := range len(text) {
+			io.WriteString(other, text[n:n+1])
+		}
+	}()
+	c.Within(5 * time.Second)
+	h, err := c.Answer()
+	assert.NoError(t, err)
+	assert.Equal(t, 200, h.Status)
+	b, err := protocol.AnswerBody(&h)
+	assert.NoError(t, err)
+	body, err := c.Body(b, 10)
+	assert.NoError(t, err)
+	assert.Equal(t, "abc", string(body))
+}
+
+func TestBodyLargerThanAllowed(t *testing.T) {
+	c, other, _ := pair(t)
+	go io.WriteString(other,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n4\r\nabcd\r\n0\r\n\r\n")
+	c.Within(5 * time.Second)
+	h, err := c.Answer()
+	assert.NoError(t, err)
+	b, err := protocol.AnswerBody(&h)
+	assert.NoError(t, err)
+	_, err = c.Body(b, 6)
+	assert.ErrorIs(t, err, protocol.ErrTooLarge)
+}
+
+func TestEndWithinAMessageIsToldFromAnEndBetween(t *testing.T) {
+	for text, want := range map[string]error{"": io.EOF, "HTTP/1.1 20": ErrPartly} {
+		c, other, _ := pair(t)
+		io.WriteString(other, text)
+		other.Close()
+		_, err := c.Answer()
+		assert.ErrorIs(t, err, want)
+	}
+	assert.Equal(t, []Reason{PeerClosed, PeerBroke, Malformed, TooSlow}, []Reason{Blame(io.EOF),
+		Blame(ErrPartly),
+		Blame(protocol.ErrMalformed), Blame(context.DeadlineExceeded)})
+}
+
+func TestEachConnectionLeavesOneLogLine(t *testing.T) {
+	c, _, log := pair(t)
+	c.End(Silent, io.EOF)
+	c.End(Ending, nil)
+	assert.Equal(t, 1, strings.Count(log.String(), "\n"))
+	assert.Contains(t, log.String(), `"side":"worker","addr":"w","reason":"silent"`)
+}
+
+func TestAttendTellsWhenTheOtherSideLeaves(t *testing.T) {
+	c, other, _ := pair(t)
+	left := make(chan error, 1)
+	stop := c.Attend(func(err error) { left <- err })
+	other.Close()
+	assert.ErrorIs(t, <-left, io.EOF)
+	stop()
+}
+
+func TestAttendKeepsWhatComesEarlyAndThenStops(t *testing.T) {
+	c, other, _ := pair(t)
+	stop := c.Attend(func(err error) { t.Error("left:", err) })
+	io.WriteString(other, "GET / HTTP/1.1\r\n\r\n")
+	assert.Eventually(t, func() bool { return c.counter.read.Load() > 0 }, 5*time.Second, time.Millisecond)
+	stop()
+	h, err := c.Ask(nil)
+	assert.NoError(t, err)
+	assert.Equal(t, "GET", h.Method)
+}
+
+func TestInterruptEndsAWait(t *testing.T) {
+	c, _, _ := pair(t)
+	time.AfterFunc(10*time.Millisecond, c.Interrupt)
+	_, err := c.Answer()
+	assert.Equal(t, TooSlow, Blame(err))
+}
+
+func TestTooLongADatagramNeverLeaves(t *testing.T) {
+	d, err := ListenDatagrams(netip.MustParseAddrPort("127.0.0.1:0"))
+	assert.NoError(t, err)
+	to := d.pc.LocalAddr().(*net.UDPAddr).AddrPort()
+	ctx, cancel := context.WithCancel(context.Background())
+	came, ended := make(chan int, 2), make(chan error)
+	go func() { ended <- d.Run(ctx, func(_ netip.AddrPort, b []byte) { came <- len(b) }) }()
+	assert.ErrorIs(t, d.Send(to, make([]byte, 257)), ErrDatagramTooLong)
+	assert.NoError(t, d.Send(to, make([]byte, 256)))
+	assert.Equal(t, 256, <-came)
+	cancel()
+	assert.NoError(t, <-ended)
+}
--- /dev/null
+++ b/internal/transport/pool_test.go
@@ -0,0 +1,130 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+)
+
+// worker accepts connections, and hands them out.
+func worker(t *testing.T) (addr string, accepted <-chan net.Conn) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	conns := make(chan net.Conn, 16)
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			conns <- nc
+		}
+	}()
+	return ln.Addr().String(), conns
+}
+
+func get(t *testing.T, p *Pool, addr string) *Conn {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	c, err := p.Get(ctx, addr)
+	assert.NoError(t, err)
+	return c
+}
+
+func TestPoolUsesAConnectionAgain(t *testing.T) {
+	addr, _ := worker(t)
+	p := NewPool(2, time.Minute, zerolog.Nop())
+	c := get(t, p, addr)
+	p.Put(c)
+	assert.Same(t, c, get(t, p, addr))
+}
+
+// Guards against writing to a connection that the worker has ended: that forward has perhaps run.
+func TestPoolNoticesThatTheWorkerEndedAnIdleConnection(t *testing.T) {
+	addr, accepted := worker(t)
+	var log bytes.Buffer
+	p := NewPool(2, time.Minute, zerolog.New(&log))
+	c := get(t, p, addr)
+	p.Put(c)
+	(<-accepted).Close()
+	assert.Eventually(t, func() bool { return !c.alive() }, 5*time.Second, time.Millisecond)
+	assert.NotSame(t, c, get(t, p, addr))
+	assert.Contains(t, log.String(), "peer_closed")
+}
+
+func TestPoolDropsAConnectionWithWordsThatNobodyAskedFor(t *testing.T) {
+	addr, accepted := worker(t)
+	p := NewPool(2, time.Minute, zerolog.Nop())
+	c := get(t, p, addr)
+	p.Put(c)
+	(<-accepted).Write([]byte("HTTP/1.1 408 Late\r\n\r\n"))
+	assert.Eventually(t, func() bool { return !c.alive() }, 5*time.Second, time.Millisecond)
+	assert.NotSame(t, c, get(t, p, addr))
+}
+
+func TestPoolRetiresIdleConnectionsWellBeforeTheWorkerDoes(t *testing.T) {
+	addr, _ := worker(t)
+	p := NewPool(2, time.Minute, zerolog.Nop())
+	c := get(t, p, addr)
+	p.Put(c)
+	c.idleFrom = time.Now().Add(-30 * time.Second)
+	assert.Equal(t, []*Conn{c}, p.overdue(false))
+	assert.Empty(t, p.overdue(false))
+}
+
+func TestPoolMakesRoomAndKeepsItsBudget(t *testing.T) {
+	addr, _ := worker(t)
+	other, _ := worker(t)
+	p := NewPool(1, time.Minute, zerolog.Nop())
+	p.Put(get(t, p, addr))
+	c := get(t, p, other)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := p.Get(ctx, addr)
+	assert.ErrorIs(t, err, ErrNoPlace)
+	c.End(CalledOff, nil)
+	get(t, p, addr)
+}
+
+func TestPoolKeepsNothingToAWorkerThatIsForgotten(t *testing.T) {
+	addr, _ := worker(t)
+	var log bytes.Buffer
+	p := NewPool(2, time.Minute, zerolog.New(&log))
+	idle, out := get(t, p, addr), get(t, p, addr)
+	p.Put(idle)
+	p.Forget(addr)
+	p.Put(out)
+	assert.Empty(t, p.idle)
+	assert.Equal(t, 2, bytes.Count(log.Bytes(), []byte("stale_retired")))
+	get(t, p, addr)
+	get(t, p, addr)
+}
+
+func TestPoolThatEndsLeavesNothingOpen(t *testing.T) {
+	addr, _ := worker(t)
+	p := NewPool(2, time.Minute, zerolog.Nop())
+	idle, out := get(t, p, addr), get(t, p, addr)
+	p.Put(idle)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.NoError(t, p.Run(ctx))
+	p.Put(out)
+	assert.Empty(t, p.idle)
+	assert.Empty(t, p.places)
+}
+
+func TestPoolGivesThePlaceBackWhereNobodyAnswers(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	ln.Close()
+	p := NewPool(1, time.Minute, zerolog.Nop())
+	_, err = p.Get(context.Background(), ln.Addr().String())
+	assert.Error(t, err)
+	assert.Empty(t, p.places)
+}
--- /dev/null
+++ b/internal/transport/server_test.go
@@ -0,0 +1,177 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+
+	"canvasroute/internal/protocol"
+)
+
+// echo answers with the body, or not before its client has left where the path is /wait.
+type echo struct{ left chan error }
+
+func (e *echo) Check(h *protocol.Head) *protocol.Answer {
+	if h.Path() == "/none" {
+		return &protocol.Answer{Status: 404}
+	}
+	return nil
+}
+
+func (e *echo) Serve(ctx context.Context, h *protocol.Head, body []byte, _ time.Time) *protocol.Answer {
+	if h.Path() == "/wait" {
+		<-ctx.Done()
+		e.left <- context.Cause(ctx)
+		return nil
+	}
+	return &protocol.Answer{Status: 200, Body: body}
+}
+
+func (e *echo) Overfull() *protocol.Answer        { return &protocol.Answer{Status: 503} }
+func (e *echo) Broken(err error) *protocol.Answer { return protocol.Refusal(err) }
+
+// serving runs a server until the test ends.
+func serving(t *testing.T, most int) (*Server, *echo, func()) {
+	e := &echo{left: make(chan error, 1)}
+	s, err := Listen("127.0.0.1:0", most, e, zerolog.Nop())
+	assert.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	end := func() {
+		cancel()
+		select {
+		case err := <-ended:
+			assert.NoError(t, err)
+			ended <- nil
+		case <-time.After(5 * time.Second):
+			t.Error("the server does not end")
+		}
+	}
+	t.Cleanup(end)
+	return s, e, end
+}
+
+func connect(t *testing.T, s *Server) (net.Conn, *bufio.Reader) {
+	c, err := net.Dial("tcp", s.ln.Addr().String())
+	assert.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	return c, bufio.NewReader(c)
+}
+
+// ask sends text and reads one answer by the standard library's reader.
+func ask(t *testing.T, c net.Conn, r *bufio.Reader, text string) (status int, body string, closes bool) {
+	_, err := io.WriteString(c, text)
+	assert.NoError(t, err)
+	a, err := http.ReadResponse(r, nil)
+	if !assert.NoError(t, err) {
+		return 0, "", true
+	}
+	b, err := io.ReadAll(a.Body)
+	assert.NoError(t, err)
+	return a.StatusCode, string(b), a.Close
+}
+
+const post = "POST /api HTTP/1.1\r\nContent-Length: 2\r\n\r\nab"
+
+func TestServerAnswersOneAfterTheOther(t *testing.T) {
+	s, _, _ := serving(t, 4)
+	c, r := connect(t, s)
+	for _, text := range []string{post,
+		"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", post} {
+		status, body, closes := ask(t, c, r, text)
+		assert.Equal(t, []any{200, "ab", false}, []any{status, body, closes})
+	}
+	status, _, closes := ask(t, c, r, "POST /none HTTP/1.1\r\nContent-Length: 2\r\n\r\nab")
+	assert.Equal(t, []any{404, false}, []any{status, closes})
+	_, _, closes = ask(t, c, r, "POST /api HTTP/1.1\r\nConnection: close\r\n\r\n")
+	assert.True(t, closes)
+}
+
+func TestServerTurnsBadInputAway(t *testing.T) {
+	s, _, _ := serving(t, 4)
+	for text, want := range map[string]int{
+		"NONSENSE\r\n\r\n": 400,
+		"POST /api HTTP/1.1\r\nContent-Length: x\r\n\r\n":                    400,
+		"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n":     400,
+		"POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n":                413,
+		"POST /none HTTP/1.1\r\nContent-Length: 70000\r\n\r\n":               404,
+		"POST /api HTTP/1.1\r\nA: " + strings.Repeat("a", 9000) + "\r\n\r\n": 431,
+	} {
+		c, r := connect(t, s)
+		status, _, closes := ask(t, c, r, text)
+		assert.Equal(t, []any{want, true}, []any{status, closes}, text[:min(len(text), 60)])
+	}
+}
+
+func TestServerAsksForABodyThatWaits(t *testing.T) {
+	s, _, _ := serving(t, 4)
+	c, r := connect(t, s)
+	io.WriteString(c, "POST /api HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	line, err := r.ReadString('\n')
+	assert.NoError(t, err)
+	assert.Contains(t, line, "100 Continue")
+	r.ReadString('\n')
+	status, body, _ := ask(t, c, r, "ab")
+	assert.Equal(t, []any{200, "ab"}, []any{status, body})
+}
+
+func TestClientThatClosesHasLeft(t *testing.T) {
+	s, e, _ := serving(t, 4)
+	c, _ := connect(t, s)
+	io.WriteString(c, "POST /wait HTTP/1.1\r\nContent-Length: 2\r\n\r\nab")
+	c.Close()
+	assert.ErrorIs(t, <-e.left, errClientLeft)
+}
+
+func TestServerBeyondItsBudget(t *testing.T) {
+	s, e, _ := serving(t, 1)
+	busy, _ := connect(t, s)
+	io.WriteString(busy, "POST /wait HTTP/1.1\r\n\r\n")
+	holds := func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, idle := range s.conns {
+			return !idle
+		}
+		return false
+	}
+	assert.Eventually(t, holds, 5*time.Second, time.Millisecond)
+	c, r := connect(t, s)
+	status, _, closes := ask(t, c, r, post)
+	assert.Equal(t, []any{503, true}, []any{status, closes})
+	busy.Close()
+	<-e.left
+}
+
+func TestIdleConnectionMakesRoom(t *testing.T) {
+	s, _, _ := serving(t, 1)
+	idle, r := connect(t, s)
+	ask(t, idle, r, post)
+	c, r2 := connect(t, s)
+	status, _, _ := ask(t, c, r2, post)
+	assert.Equal(t, 200, status)
+	_, err := r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against a drain that waits for clients that ask for nothing.
+func TestServerThatEndsLetsIdleConnectionsGoAtOnce(t *testing.T) {
+	s, _, end := serving(t, 4)
+	c, r := connect(t, s)
+	ask(t, c, r, post)
+	s.Closing()
+	_, _, closes := ask(t, c, r, post)
+	assert.True(t, closes)
+	connect(t, s)
+	end()
+}
