Drain by sending new work away; make room from clients that bring nothing

What comes while draining is now throttled, with Retry-After for as long as clients still come here. The drain uses a third of a second more of the time before the kill (program.go).

A client that opens connections and brings its message byte by byte held them for ten seconds, so that others were throttled (server.go, makeRoom): only idle ones made room. Now slow ones do as well, and no more at a time than the spare descriptors allow.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -27,7 +27,8 @@
 	spareShare   = 0.125
 	ownSockets   = 24 // listener, datagrams, the list, standard streams, the poller, and some in passing
 	acceptFor    = 500 * time.Millisecond
-	longestDrain = 3 * time.Second
+	longestDrain = 3 * time.Second        // or the longest client timeout: no sooner are we killed,
+	drainMore    = 350 * time.Millisecond // and not within twice this after it
 )
 
 // Main runs a dispatcher and returns the code that the process exits with.
@@ -120,7 +121,7 @@
 				continue
 			}
 			log.Info().Str("signal", s.String()).Msg("draining")
-			router.Drain(min(p.Longest, longestDrain))
+			router.Drain(min(p.Longest, longestDrain)+drainMore, acceptFor)
 			server.Closing()
 			select { // clients go on coming for a while
 			case <-time.After(acceptFor):
--- a/internal/protocol/names.go
+++ b/internal/protocol/names.go
@@ -26,7 +26,7 @@
 const (
 	MostHead = 8 << 10
 	MostBody = 64 << 10
-	MostLine = 6*MostBody + 1<<10 // a result with each byte escaped
+	MostLine = 2*MostBody + 1<<10 // a result with every other byte escaped
 )
 
 // The ways a message can be wrong. ErrTooLarge is a body's; ErrHeadTooLarge a head's.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -51,6 +51,7 @@
 
 	settled  atomic.Bool // the first call for the list has been answered, or has failed
 	draining atomic.Bool
+	away     atomic.Int64 // how long clients should stay away from one that drains
 }
 
 // New makes a router and gives the facade the list that it starts with.
@@ -95,8 +96,10 @@
 	return err
 }
 
-// Drain makes clients go elsewhere, and gives what is open until within to be answered.
-func (r *Router) Drain(within time.Duration) {
+// Drain gives what is open until within to be answered. What comes from now on is sent away for as long as
+// clients still come here: it might not be done in time, and begun it could not always be sent away.
+func (r *Router) Drain(within, away time.Duration) {
+	r.away.Store(int64(min(away, r.terms.ComeBackMost)))
 	r.draining.Store(true)
 	r.facade.EndBy(decide.Time(within / (time.Second / decide.Second)))
 }
@@ -166,6 +169,10 @@
 	}
 	inv.Body = body
 	r.counts.Taken.Add(1)
+	if r.draining.Load() {
+		r.counts.Throttled.Add(1)
+		return &protocol.Answer{Status: 503, ComeBack: time.Duration(r.away.Load())}
+	}
 	until := came.Add(inv.Timeout)
 	t, result := r.facade.Land(l), make(chan string, 1)
 	for {
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -41,10 +41,19 @@
 	r.fleet.take(&protocol.List{Whole: true})
 	assert.Equal(t, 503, r.Check(h).Status, "there is no worker")
 	r.fleet.take(&protocol.List{Entries: []protocol.Entry{{ID: "w", State: protocol.Ready}}})
-	r.Drain(time.Second)
+	r.Drain(time.Second, 0)
 	assert.Equal(t, 503, r.Check(h).Status, "it drains")
 }
 
+// Guards against work that is begun in the last seconds, cut off, and then may not be sent away any more.
+func TestWhatComesToADispatcherThatDrainsIsSentAway(t *testing.T) {
+	r := routerTo(t, "127.0.0.1:1")
+	r.terms.ComeBackMost = 2 * time.Second
+	r.Drain(time.Second, 500*time.Millisecond)
+	a := r.Serve(context.Background(), invocation("once"), nil, time.Now())
+	assert.Equal(t, &protocol.Answer{Status: 503, ComeBack: 500 * time.Millisecond}, a)
+}
+
 func TestClientThatLeavesGetsNoAnswer(t *testing.T) {
 	ctx, leave := context.WithCancel(context.Background())
 	r := routerTo(t, standIn(t, func(c net.Conn, _ *http.Request) {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -41,23 +41,40 @@
 	handler Handler
 	log     zerolog.Logger
 	most    int
+	spare   int // connections beyond most that may be answered as overfull, and that may be on their way out
 
 	mu       sync.Mutex
-	conns    map[*Conn]bool // true while it stands idle between messages
-	stopping bool           // each answer is the last one of its connection
-	retired  bool           // and idle connections end
+	conns    map[*Conn]*place
+	stopping bool // each answer is the last one of its connection
+	retired  bool // and idle connections end
 }
 
+// place is what a client's connection does, and since when.
+type place struct {
+	doing   doing
+	since   time.Time
+	evicted bool // it is to end for another one's sake
+}
+
+type doing uint8
+
+const (
+	standing doing = iota // idle between messages
+	reading
+	answering // a whole message has been taken: it is owed an answer
+)
+
 // errClientLeft is the cause of an invocation's context that its client has ended.
 var errClientLeft = errors.New("client left")
 
-// Listen opens the listener. Beyond most connections, spare more are answered as overfull.
+// Listen opens the listener. Beyond most connections there may be an eighth more for a moment.
 func Listen(addr string, most int, handler Handler, log zerolog.Logger) (*Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("listening for clients: %w", err)
 	}
-	return &Server{ln: ln, handler: handler, log: log, most: most, conns: map[*Conn]bool{}}, nil
+	return &Server{ln: ln, handler: handler, log: log, most: most, spare: max(most/16, 1),
+		conns: map[*Conn]*place{}}, nil
 }
 
 // Run accepts until ctx ends, and then waits for the connections it has; those that stand idle end at once,
@@ -66,7 +83,7 @@
 	var conns errgroup.Group
 	stop := context.AfterFunc(ctx, func() { s.ln.Close() })
 	defer stop()
-	spare := make(chan struct{}, max(s.most/8, 1))
+	spare := make(chan struct{}, s.spare)
 	for {
 		nc, err := s.ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -108,8 +125,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopping, s.retired = true, true
-	for c, idle := range s.conns {
-		if idle {
+	for c, p := range s.conns {
+		if p.doing == standing {
 			c.Within(crossWithin)
 		}
 	}
@@ -122,25 +139,38 @@
 	s.stopping = true
 }
 
-func (s *Server) count() int {
+// count is the number of connections that are to stay.
+func (s *Server) count() (n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns)
+	for _, p := range s.conns {
+		if !p.evicted {
+			n++
+		}
+	}
+	return n
 }
 
-// makeRoom ends the connection that has stood idle longest.
+// makeRoom ends the connection that has stood idle longest, or else the one longest about a message. It guards against clients that open many connections and bring nothing on them, or bring it byte by byte.
 func (s *Server) makeRoom() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var oldest *Conn
-	for c, idle := range s.conns {
-		if idle && (oldest == nil || c.idleFrom.Before(oldest.idleFrom)) {
+	evicted := 0
+	for c, p := range s.conns {
+		if p.evicted {
+			evicted++
+		}
+		if p.doing == answering || p.evicted {
+			continue
+		}
+		if o := s.conns[oldest]; o == nil || p.doing < o.doing || p.doing == o.doing && p.since.Before(o.since) {
 			oldest = c
 		}
 	}
-	if oldest != nil {
-		oldest.Within(time.Nanosecond)
-		delete(s.conns, oldest)
+	if oldest != nil && evicted < s.spare {
+		s.conns[oldest].evicted = true
+		oldest.Within(crossWithin)
 	}
 }
 
@@ -149,18 +179,27 @@
 func (s *Server) stand(c *Conn, within time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.conns[c], c.idleFrom = true, time.Now()
+	s.conns[c] = &place{since: time.Now()}
 	if s.retired {
 		within = crossWithin
 	}
 	c.Within(within)
 }
 
-func (s *Server) busy(c *Conn) {
+// turn marks what a connection does next. One that is to end is not read on.
+func (s *Server) turn(c *Conn, to doing) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.conns[c] = false
-	c.Within(askWithin)
+	p := s.conns[c]
+	if p.doing, p.since = to, time.Now(); to == reading && !p.evicted {
+		c.Within(askWithin)
+	}
+}
+
+func (s *Server) isEvicted(c *Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns[c].evicted
 }
 
 func (s *Server) isStopping() bool {
@@ -182,7 +221,7 @@
 
 // exchange reads one message and answers it. It returns the reason if the connection ends with it.
 func (s *Server) exchange(c *Conn, over bool) (Reason, error) {
-	h, err := c.Ask(func() { s.busy(c) })
+	h, err := c.Ask(func() { s.turn(c, reading) })
 	if err != nil {
 		return s.unread(c, err)
 	}
@@ -207,6 +246,7 @@
 		return s.unread(c, err)
 	}
 	came := time.Now()
+	s.turn(c, answering)
 	if over {
 		return s.answer(c, s.handler.Overfull(), true)
 	}
@@ -225,6 +265,13 @@
 func (s *Server) unread(c *Conn, err error) (Reason, error) {
 	why := Blame(err)
 	switch {
+	case why == TooSlow && s.isEvicted(c) && c.in.Len() > 0:
+		if _, sent := s.answer(c, s.handler.Overfull(), true); sent == nil {
+			c.linger()
+		}
+		return OverBudget, nil
+	case why == TooSlow && s.isEvicted(c):
+		return OverBudget, nil
 	case why == TooSlow && c.in.Len() == 0 && s.isStopping():
 		return Ending, nil
 	case why == TooSlow && c.in.Len() == 0:
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -140,8 +140,8 @@
 	holds := func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		for _, idle := range s.conns {
-			return !idle
+		for _, p := range s.conns {
+			return p.doing == answering
 		}
 		return false
 	}
@@ -164,6 +164,25 @@
 	assert.ErrorIs(t, err, io.EOF)
 }
 
+func TestConnectionThatBringsItsMessageByteByByteMakesRoom(t *testing.T) {
+	s, _, _ := serving(t, 1)
+	slow, r := connect(t, s)
+	io.WriteString(slow, "POST /a")
+	assert.Eventually(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, p := range s.conns {
+			return p.doing == reading
+		}
+		return false
+	}, 5*time.Second, time.Millisecond)
+	c, r2 := connect(t, s)
+	status, _, _ := ask(t, c, r2, post)
+	assert.Equal(t, 200, status)
+	status, _, closes := ask(t, slow, r, "")
+	assert.Equal(t, []any{503, true}, []any{status, closes})
+}
+
 // Guards against a drain that waits for clients that ask for nothing.
 func TestServerThatEndsLetsIdleConnectionsGoAtOnce(t *testing.T) {
 	s, _, end := serving(t, 4)
