--- a/decide/facade_test.go
+++ b/decide/facade_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -122,6 +123,35 @@
 	assert.NoError(t, <-ended)
 }
 
+func TestManyClientsAtOnce(t *testing.T) {
+	f, _ := facadeOf(someTerms, 4)
+	start := time.Now()
+	f.clock = func() Time { return 100*Second + Time(time.Since(start)/100000) }
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- f.Tick(ctx) }()
+	var clients sync.WaitGroup
+	for n := range 50 {
+		clients.Go(func() {
+			ticket := f.Land(Landing{Operation: Operation(n % len(someTerms.Operations)), Grace: 3 * Second})
+			for {
+				c := pick(t, ticket)
+				if c.Do != Send {
+					return
+				}
+				ticket.ReportStart(c.N)
+				ticket.Report(c.N, []Outcome{Succeeded, Full, Succeeded, WorkerError}[(n+c.N)%4])
+				f.ReportPeer(1, Load{Tgt: c.Tgt, InFlight: n % 3})
+			}
+		})
+	}
+	clients.Wait()
+	cancel()
+	assert.NoError(t, <-ended)
+	assert.Equal(t, 0, f.Open())
+	assert.Zero(t, f.d.own[0]+f.d.own[1]+f.d.own[2]+f.d.own[3], "nothing is left out")
+}
+
 // Guards against a crash: a peer may tell of a worker whose list is still on its way to the rules.
 func TestPeerThatTellsOfAWorkerNotListedYetIsPassedOver(t *testing.T) {
 	f, _ := facadeOf(someTerms, 1)
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -20,6 +20,7 @@
 	answerWithin = 5 * time.Second  // for the client to take the answer
 	idleWithin   = 75 * time.Second // between messages
 	lingerWithin = 500 * time.Millisecond
+	lastWithin   = time.Second           // from the end of accepting to a message's last byte
 	crossWithin  = 50 * time.Millisecond // for a message on its way to an idle connection that is to end
 )
 
@@ -126,8 +127,11 @@
 	defer s.mu.Unlock()
 	s.stopping, s.retired = true, true
 	for c, p := range s.conns {
-		if p.doing == standing {
+		switch p.doing {
+		case standing:
 			c.Within(crossWithin)
+		case reading:
+			c.Within(lastWithin)
 		}
 	}
 }
@@ -191,7 +195,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.conns[c]
-	if p.doing, p.since = to, time.Now(); to == reading && !p.evicted {
+	p.doing, p.since = to, time.Now()
+	switch {
+	case to != reading || p.evicted:
+	case s.retired:
+		c.Within(lastWithin)
+	default:
 		c.Within(askWithin)
 	}
 }
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -192,5 +192,7 @@
 	_, _, closes := ask(t, c, r, post)
 	assert.True(t, closes)
 	connect(t, s)
+	slow, _ := connect(t, s)
+	io.WriteString(slow, "POST /a")
 	end()
 }
