--- a/decide/facade.go
+++ b/decide/facade.go
@@ -137,18 +137,24 @@
 	})
 }
 
+// next takes the first choice that still holds. It guards against a forward that goes out after the answer: one
+// that was not picked before the invocation was over is never sent.
 func (t *Ticket) next() (Choice, bool) {
 	t.f.mu.Lock()
 	defer t.f.mu.Unlock()
-	if len(t.choices) == 0 {
-		return Choice{}, false
-	}
-	c := t.choices[0]
-	t.choices = t.choices[1:]
-	if c.Do != Send {
-		t.release()
+	for len(t.choices) > 0 {
+		c := t.choices[0]
+		t.choices = t.choices[1:]
+		switch {
+		case c.Do != Send:
+			t.release()
+			return c, true
+		case !t.over:
+			return c, true
+		}
+		t.ended(c.N, Moot)
 	}
-	return c, true
+	return Choice{}, false
 }
 
 // ReportStart tells that the worker has begun forward n.
--- a/decide/facade_test.go
+++ b/decide/facade_test.go
@@ -88,6 +88,19 @@
 	assert.Equal(t, 0, f.d.own[0]+f.d.own[1])
 }
 
+// Guards against a forward that goes out after the answer, where forwards may not be called off.
+func TestForwardNotPickedBeforeTheAnswerIsNeverSent(t *testing.T) {
+	terms := someTerms
+	terms.MayCancel = false
+	f, _ := facadeOf(terms, 2)
+	ticket := f.Land(Landing{Grace: 3 * Second})
+	first := pick(t, ticket)
+	f.with(func(d *Dispatcher) { d.forward(ticket.inv, 1-first.Tgt) })
+	assert.True(t, ticket.Report(first.N, Succeeded))
+	assert.Equal(t, Choice{Do: AnswerFound, N: first.N}, pick(t, ticket))
+	assert.Equal(t, 0, f.Open())
+}
+
 func TestNumbersAreUsedAgain(t *testing.T) {
 	f, _ := facadeOf(someTerms, 2)
 	for range 3 {
--- a/internal/routing/forward_test.go
+++ b/internal/routing/forward_test.go
@@ -190,15 +190,15 @@
 }
 
 func TestConnectionIsUsedAgainAfterAWholeAnswer(t *testing.T) {
-	r := routerTo(t, standIn(t, says(chunked(done)+last, false)))
+	from := make(chan string, 2)
+	r := routerTo(t, standIn(t, func(c net.Conn, _ *http.Request) {
+		from <- c.RemoteAddr().String()
+		io.WriteString(c, chunked(done)+last)
+	}))
 	for range 2 {
 		a := r.Serve(context.Background(), invocation("idem"), nil, time.Now())
 		assert.Equal(t, &protocol.Answer{Status: 200, Body: []byte("r")}, a)
 		r.forwards.Wait()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	c, err := r.pool.Get(ctx, r.fleet.address(0))
-	assert.NoError(t, err)
-	assert.True(t, c.Reused())
+	assert.Equal(t, <-from, <-from)
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -112,9 +112,6 @@
 	})
 }
 
-// Reused tells whether the connection has carried a message before.
-func (c *Conn) Reused() bool { return c.messages > 0 }
-
 // Within bounds all reading from now on; none if d is 0.
 func (c *Conn) Within(d time.Duration) {
 	var at time.Time
