Let an answer arrive beside a body that is not read

Checked by reading: where a path is unknown and the body too large, the connection was closed with unread bytes on it, and the reset for them can throw the answer away at the client (server.go, exchange). A client that waits for 100 Continue before its body got no answer for an unknown path until ten seconds had passed. Both have a test. Also our words for a few names in protocol and routing.

--- a/decide/facade.go
+++ b/decide/facade.go
@@ -137,8 +137,8 @@
 	})
 }
 
-// next takes the first choice that still holds. It guards against a forward that goes out after the answer: one
-// that was not picked before the invocation was over is never sent.
+// next takes the first choice that still holds. It guards against a forward that goes out after the answer:
+// one that was not picked before the invocation was over is never sent.
 func (t *Ticket) next() (Choice, bool) {
 	t.f.mu.Lock()
 	defer t.f.mu.Unlock()
--- a/internal/protocol/http_test.go
+++ b/internal/protocol/http_test.go
@@ -153,9 +153,9 @@
 		string(AppendAnswerHead(nil, &Answer{Status: 429, ComeBack: 250 * time.Millisecond}, true)))
 	assert.Equal(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n",
 		string(AppendAnswerHead(nil, &Answer{Status: 200, Body: []byte("ab")}, false)))
-	assert.Equal(t, []int{413, 431, 400, 408}, []int{Refusal(ErrTooLarge).Status,
-		Refusal(ErrHeadTooLarge).Status,
-		Refusal(ErrMalformed).Status, Refusal(errors.New("late")).Status})
+	assert.Equal(t, []int{413, 431, 400, 408}, []int{TurnAway(ErrTooLarge).Status,
+		TurnAway(ErrHeadTooLarge).Status,
+		TurnAway(ErrMalformed).Status, TurnAway(errors.New("late")).Status})
 }
 
 func TestDeclinedOnlyWhereTheWorkerSaysSo(t *testing.T) {
--- a/internal/protocol/invocation.go
+++ b/internal/protocol/invocation.go
@@ -34,12 +34,12 @@
 	if inv.ID == "" || len(inv.ID) > 256 {
 		return nil, fmt.Errorf("%w: no Req-Id, or a long one", ErrMalformed)
 	}
-	for _, name := range []string{fieldID, fieldKind, fieldDeadline, fieldDedup} {
+	for _, name := range []string{fieldID, fieldKind, fieldTimeout, fieldDedup} {
 		if len(h.all(name)) > 1 {
 			return nil, fmt.Errorf("%w: %s twice", ErrMalformed, name)
 		}
 	}
-	if v := h.Field(fieldDeadline); v != "" {
+	if v := h.Field(fieldTimeout); v != "" {
 		s, err := strconv.ParseFloat(v, 64)
 		if err != nil || !(s > 0 && s < math.MaxInt32) {
 			return nil, fmt.Errorf("%w: Req-Deadline %.40q", ErrMalformed, v)
@@ -104,8 +104,8 @@
 // Continue asks a client that waits with its body to send it.
 const Continue = "HTTP/1.1 100 Continue\r\n\r\n"
 
-// Refusal is the answer to what cannot be read.
-func Refusal(err error) *Answer {
+// TurnAway is the answer to what cannot be read.
+func TurnAway(err error) *Answer {
 	switch {
 	case errors.Is(err, ErrTooLarge):
 		return &Answer{Status: 413}
--- a/internal/protocol/names.go
+++ b/internal/protocol/names.go
@@ -9,7 +9,7 @@
 	fieldID       = "req-id"
 	fieldKind     = "req-kind"
 	fieldOwner    = "req-owner"
-	fieldDeadline = "req-deadline"
+	fieldTimeout  = "req-deadline"
 	fieldCost     = "req-cost"
 	fieldExtra    = "req-extra"
 	fieldDedup    = "idempotency-key"
--- a/internal/routing/forward.go
+++ b/internal/routing/forward.go
@@ -18,7 +18,7 @@
 // forward sends the invocation to one worker and reports what comes of it, once.
 func (r *Router) forward(t *decide.Ticket, c decide.Choice, inv *protocol.Invocation, until time.Time,
 	result chan<- string) {
-	f := &attempt{r: r, ctx: c.Ctx, inv: inv, until: until, started: func() { t.ReportStart(c.N) }}
+	f := &passage{r: r, ctx: c.Ctx, inv: inv, until: until, started: func() { t.ReportStart(c.N) }}
 	how, text, finish := f.run(c.Tgt)
 	r.counts.outcome(how)
 	if t.Report(c.N, how) {
@@ -29,8 +29,8 @@
 	}
 }
 
-// attempt is one forward on its way.
-type attempt struct {
+// passage is one forward on its way.
+type passage struct {
 	r       *Router
 	ctx     context.Context
 	inv     *protocol.Invocation
@@ -40,7 +40,7 @@
 
 // run returns the outcome, the result of a succeeded forward, and what is left to do for the connection after
 // the outcome has been reported.
-func (f *attempt) run(tgt decide.Worker) (how decide.Outcome, result string, finish func()) {
+func (f *passage) run(tgt decide.Worker) (how decide.Outcome, result string, finish func()) {
 	conn, err := f.connect(tgt)
 	if err != nil {
 		if f.ctx.Err() != nil {
@@ -85,13 +85,13 @@
 }
 
 // connect gets a connection within the time in which one comes up or never does.
-func (f *attempt) connect(tgt decide.Worker) (*transport.Conn, error) {
+func (f *passage) connect(tgt decide.Worker) (*transport.Conn, error) {
 	ctx, cancel := context.WithTimeout(f.ctx, f.r.terms.DialWithin)
 	defer cancel()
 	return f.r.pool.Get(ctx, f.r.fleet.address(tgt))
 }
 
-func (f *attempt) unsent(conn *transport.Conn, err error) (decide.Outcome, string, func()) {
+func (f *passage) unsent(conn *transport.Conn, err error) (decide.Outcome, string, func()) {
 	conn.End(f.reason(err, f.ctx.Err() != nil), err)
 	if f.ctx.Err() != nil {
 		return decide.Moot, "", nil
@@ -100,7 +100,7 @@
 }
 
 // reason tells why a connection ends with an error.
-func (f *attempt) reason(err error, interrupted bool) transport.Reason {
+func (f *passage) reason(err error, interrupted bool) transport.Reason {
 	switch {
 	case interrupted:
 		return transport.CalledOff
@@ -121,7 +121,7 @@
 )
 
 // lost is the outcome of a forward that was sent and whose connection brings nothing more.
-func (f *attempt) lost(err error) decide.Outcome {
+func (f *passage) lost(err error) decide.Outcome {
 	switch {
 	case errors.Is(context.Cause(f.ctx), decide.ErrCalledOff):
 		return decide.Cancelled
@@ -136,7 +136,7 @@
 
 // read takes the worker's answer up to the line that ends the forward. With an error the connection is of no
 // more use; without one the rest of body is still to come.
-func (f *attempt) read(conn *transport.Conn) (how decide.Outcome, result string, body protocol.Body,
+func (f *passage) read(conn *transport.Conn) (how decide.Outcome, result string, body protocol.Body,
 	err error) {
 	head, err := conn.Answer()
 	if err != nil {
@@ -189,7 +189,7 @@
 }
 
 // line takes one line of the worker's. The outcome is 0 while the forward goes on.
-func (f *attempt) line(b []byte) (how decide.Outcome, result string, err error) {
+func (f *passage) line(b []byte) (how decide.Outcome, result string, err error) {
 	if len(b) == 0 {
 		return 0, "", nil
 	}
--- a/internal/routing/forward_test.go
+++ b/internal/routing/forward_test.go
@@ -73,22 +73,25 @@
 )
 
 // routerTo has one worker at an address, and two operations, the second one non-idempotent.
-func routerTo(t *testing.T, addr string) *Router {
-	now := time.Now()
-	terms := decide.Terms{Dispatchers: 2, Kinds: 1, ForwardsMost: 1, MayCancel: true,
-		Customers:   []decide.CustomerTerms{{Quota: 1e9}},
-		Granularity: 20, ReportInFlight: -1, ReportQueue: -1, ReportFree: -1, Operations: []decide.OperationTerms{
-			{Objective: decide.Second, Value: 1, Kind: -1}, {Objective: decide.Second, Value: 1, Kind: -1,
-				Repeat: decide.NonIdempotent}}}
-	f := decide.NewFacade(terms, 1, func() decide.Time { return decide.Second + spanOf(time.Since(now)) },
-		func(string) {})
-	return New(Terms{Operations: []Operation{{"idem", 2 * time.Second}, {"once", 2 * time.Second}},
+func routerTo(addr string) *Router {
+	began := time.Now()
+	f := decide.NewFacade(decide.Terms{
+		Dispatchers: 2, Kinds: 1, ForwardsMost: 1, MayCancel: true, Granularity: 20,
+		ReportInFlight: -1, ReportQueue: -1, ReportFree: -1,
+		Customers: []decide.CustomerTerms{{Quota: 1e9}},
+		Operations: []decide.OperationTerms{
+			{Objective: decide.Second, Value: 1, Kind: -1},
+			{Objective: decide.Second, Value: 1, Kind: -1, Repeat: decide.NonIdempotent},
+		},
+	}, 1, func() decide.Time { return decide.Second + spanOf(time.Since(began)) }, func(string) {})
+	known := protocol.Entry{ID: "w", Address: addr, State: protocol.Ready}
+	return New(Terms{
+		Operations: []Operation{{"idem", 2 * time.Second}, {"once", 2 * time.Second}},
 		DialWithin: time.Second,
 		Peers: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:7001"),
 			netip.MustParseAddrPort("127.0.0.2:7001")},
 		FromUnix: func(ms float64) decide.Time { return decide.Time(ms * 10) },
-		Known: &protocol.List{Version: 7, Whole: true, Entries: []protocol.Entry{{ID: "w", Address: addr,
-			State: protocol.Ready}}},
+		Known:    &protocol.List{Version: 7, Whole: true, Entries: []protocol.Entry{known}},
 	}, f, transport.NewPool(4, time.Minute, zerolog.Nop()), nil, zerolog.Nop())
 }
 
@@ -103,10 +106,10 @@
 
 // outcome is what one forward to addr comes to.
 func outcome(t *testing.T, addr string, ctx context.Context) (decide.Outcome, string, int) {
-	r, starts := routerTo(t, addr), 0
+	r, starts := routerTo(addr), 0
 	inv, err := protocol.ParseInvocation(invocation("idem"))
 	assert.NoError(t, err)
-	f := &attempt{r: r, ctx: ctx, inv: inv, until: time.Now().Add(time.Second), started: func() { starts++ }}
+	f := &passage{r: r, ctx: ctx, inv: inv, until: time.Now().Add(time.Second), started: func() { starts++ }}
 	how, result, finish := f.run(0)
 	if finish != nil {
 		finish()
@@ -191,7 +194,7 @@
 
 func TestConnectionIsUsedAgainAfterAWholeAnswer(t *testing.T) {
 	from := make(chan string, 2)
-	r := routerTo(t, standIn(t, func(c net.Conn, _ *http.Request) {
+	r := routerTo(standIn(t, func(c net.Conn, _ *http.Request) {
 		from <- c.RemoteAddr().String()
 		io.WriteString(c, chunked(done)+last)
 	}))
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -129,7 +129,7 @@
 
 // Broken answers what cannot be read.
 func (r *Router) Broken(err error) *protocol.Answer {
-	return r.turnedAway(protocol.Refusal(err))
+	return r.turnedAway(protocol.TurnAway(err))
 }
 
 // Overfull answers what comes on a connection beyond the budget: it was never sent anywhere.
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -14,7 +14,7 @@
 )
 
 func TestInvocationsThatCannotBeTakenAreAnswered(t *testing.T) {
-	r := routerTo(t, "127.0.0.1:1")
+	r := routerTo("127.0.0.1:1")
 	assert.Equal(t, 400, r.Serve(context.Background(), invocation("unheard-of"), nil, time.Now()).Status)
 	assert.Equal(t, 400, r.Serve(context.Background(), &protocol.Head{Method: "POST"}, nil, time.Now()).Status)
 	r.owners["o"] = 0
@@ -24,7 +24,7 @@
 }
 
 func TestPathsAndMethods(t *testing.T) {
-	r := routerTo(t, "127.0.0.1:1")
+	r := routerTo("127.0.0.1:1")
 	for target, want := range map[string]int{"/": 404, "/api/x": 404, "/_health?x": 405} {
 		assert.Equal(t, want, r.Check(&protocol.Head{Method: "POST", Target: target}).Status, target)
 	}
@@ -34,7 +34,7 @@
 }
 
 func TestHealthIsGoodOnlyWhenReady(t *testing.T) {
-	r, h := routerTo(t, "127.0.0.1:1"), &protocol.Head{Method: "GET", Target: "/_health"}
+	r, h := routerTo("127.0.0.1:1"), &protocol.Head{Method: "GET", Target: "/_health"}
 	assert.Equal(t, 503, r.Check(h).Status, "the list has not been asked for yet")
 	r.settled.Store(true)
 	assert.Equal(t, 200, r.Check(h).Status)
@@ -47,7 +47,7 @@
 
 // Guards against work that is begun in the last seconds, cut off, and then may not be sent away any more.
 func TestWhatComesToADispatcherThatDrainsIsSentAway(t *testing.T) {
-	r := routerTo(t, "127.0.0.1:1")
+	r := routerTo("127.0.0.1:1")
 	r.terms.ComeBackMost = 2 * time.Second
 	r.Drain(time.Second, 500*time.Millisecond)
 	a := r.Serve(context.Background(), invocation("once"), nil, time.Now())
@@ -56,7 +56,7 @@
 
 func TestClientThatLeavesGetsNoAnswer(t *testing.T) {
 	ctx, leave := context.WithCancel(context.Background())
-	r := routerTo(t, standIn(t, func(c net.Conn, _ *http.Request) {
+	r := routerTo(standIn(t, func(c net.Conn, _ *http.Request) {
 		leave()
 		c.Read(make([]byte, 1))
 	}))
@@ -66,17 +66,17 @@
 }
 
 func TestWorkerThatBreaksEndsANonIdempotentInvocationAsErrored(t *testing.T) {
-	r := routerTo(t, standIn(t, says("", true)))
+	r := routerTo(standIn(t, says("", true)))
 	assert.Equal(t, 502, r.Serve(context.Background(), invocation("once"), nil, time.Now()).Status)
 }
 
 func TestWorkerThatDeclinesLetsANonIdempotentInvocationBeThrottled(t *testing.T) {
-	r := routerTo(t, standIn(t, says("HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", false)))
+	r := routerTo(standIn(t, says("HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", false)))
 	assert.Equal(t, 429, r.Serve(context.Background(), invocation("once"), nil, time.Now()).Status)
 }
 
 func TestListNamesConnectionsOfNoMoreUse(t *testing.T) {
-	r := routerTo(t, "127.0.0.1:1")
+	r := routerTo("127.0.0.1:1")
 	take := func(whole bool, e ...protocol.Entry) []string {
 		_, stale := r.fleet.take(&protocol.List{Version: 8, Whole: whole, Entries: e})
 		return stale
@@ -97,17 +97,19 @@
 
 // Guards against two zones taken for one: a dedup group would be too large.
 func TestZonesThatTheSettingsDoNotNameAreUnlikeAllOthers(t *testing.T) {
-	r := routerTo(t, "127.0.0.1:1")
+	r := routerTo("127.0.0.1:1")
 	r.fleet.zones = numbered([]string{"a"})
-	entries, _ := r.fleet.take(&protocol.List{Entries: []protocol.Entry{{ID: "1", Zone: "a",
-		State: protocol.Ready},
-		{ID: "2", Zone: "x", State: protocol.Ready}, {ID: "3", Zone: "y", State: protocol.Ready}}})
+	entries, _ := r.fleet.take(&protocol.List{Entries: []protocol.Entry{
+		{ID: "1", Zone: "a", State: protocol.Ready},
+		{ID: "2", Zone: "x", State: protocol.Ready},
+		{ID: "3", Zone: "y", State: protocol.Ready},
+	}})
 	assert.NotEqual(t, entries[0].Zone, entries[1].Zone)
 	assert.NotEqual(t, entries[1].Zone, entries[2].Zone)
 }
 
 func TestDatagramsThatAreDroppedAndCounted(t *testing.T) {
-	r := routerTo(t, "127.0.0.1:1")
+	r := routerTo("127.0.0.1:1")
 	peer := r.terms.Peers[1]
 	news := func(at uint16) []byte {
 		return protocol.AppendNews(nil, at, []protocol.Load{{Tag: protocol.Tag("w"), InFlight: 3}})
@@ -121,14 +123,13 @@
 	r.hear(r.terms.Peers[0], news(7)) // our own address
 	c := &r.counts
 	assert.Equal(t, []int64{3, 1, 1, 2}, []int64{c.DatagramsHeard.Load(), c.Overtaken.Load(),
-		c.DatagramsBroken.Load(),
-		c.Strangers.Load()})
+		c.DatagramsBroken.Load(), c.Strangers.Load()})
 }
 
 // watched makes one call to a list service that answers with text, and returns how it ended.
 func watched(t *testing.T, text string, ends bool) (*Router, string) {
 	asked := make(chan string, 1)
-	r := routerTo(t, "127.0.0.1:1")
+	r := routerTo("127.0.0.1:1")
 	r.terms.Discovery = standIn(t, func(c net.Conn, q *http.Request) {
 		asked <- q.URL.String()
 		says(text, ends)(c, q)
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -155,7 +155,8 @@
 	return n
 }
 
-// makeRoom ends the connection that has stood idle longest, or else the one longest about a message. It guards against clients that open many connections and bring nothing on them, or bring it byte by byte.
+// makeRoom ends the connection that has stood idle longest, or else the one longest about a message. It guards
+// against clients that open many connections and bring nothing on them, or bring it byte by byte.
 func (s *Server) makeRoom() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -239,11 +240,7 @@
 		return s.unread(c, err)
 	}
 	if a := s.handler.Check(&h); a != nil {
-		_, err := c.Body(body, protocol.MostBody)
-		if err != nil && Blame(err) != Malformed {
-			return Blame(err), err
-		}
-		return s.answer(c, a, err != nil || h.Closes() || over)
+		return s.turnAway(c, &h, body, a, over)
 	}
 	if h.Expects() && body.Length() <= protocol.MostBody {
 		if err := c.Send(answerWithin, []byte(protocol.Continue)); err != nil {
@@ -270,6 +267,25 @@
 	return s.answer(c, a, h.Closes())
 }
 
+// turnAway answers what is not taken. Its body is read over, so that the connection can go on; where it is
+// too large, or its client waits for a word before it sends it, the connection ends instead.
+func (s *Server) turnAway(c *Conn, h *protocol.Head, body protocol.Body, a *protocol.Answer,
+	over bool) (Reason, error) {
+	ends := h.Expects()
+	if !ends {
+		_, err := c.Body(body, protocol.MostBody)
+		if err != nil && Blame(err) != Malformed {
+			return Blame(err), err
+		}
+		ends = err != nil
+	}
+	why, err := s.answer(c, a, ends || h.Closes() || over)
+	if ends && err == nil {
+		c.linger()
+	}
+	return why, err
+}
+
 // unread ends a connection with what is on it, with an answer if the client may still read one.
 func (s *Server) unread(c *Conn, err error) (Reason, error) {
 	why := Blame(err)
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -36,7 +36,7 @@
 }
 
 func (e *echo) Overfull() *protocol.Answer        { return &protocol.Answer{Status: 503} }
-func (e *echo) Broken(err error) *protocol.Answer { return protocol.Refusal(err) }
+func (e *echo) Broken(err error) *protocol.Answer { return protocol.TurnAway(err) }
 
 // serving runs a server until the test ends.
 func serving(t *testing.T, most int) (*Server, *echo, func()) {
@@ -125,6 +125,27 @@
 	assert.Equal(t, []any{200, "ab"}, []any{status, body})
 }
 
+// Guards against a wait for a body that its client does not send before it has been asked to.
+func TestServerTurnsAwayWithoutABodyThatWaits(t *testing.T) {
+	s, _, _ := serving(t, 4)
+	c, r := connect(t, s)
+	status, _, closes := ask(t, c, r, "POST /none HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	assert.Equal(t, []any{404, true}, []any{status, closes})
+}
+
+// Guards against a reset, for the rest of a body that is not read, that throws the answer away.
+func TestAnswerArrivesBesideABodyThatIsTooLarge(t *testing.T) {
+	s, _, _ := serving(t, 4)
+	for _, path := range []string{"/api", "/none"} {
+		c, r := connect(t, s)
+		body := strings.Repeat("a", 100000)
+		go c.Write([]byte("POST " + path + " HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" + body))
+		time.Sleep(20 * time.Millisecond)
+		status, _, _ := ask(t, c, r, "")
+		assert.Equal(t, map[string]int{"/api": 413, "/none": 404}[path], status)
+	}
+}
+
 func TestClientThatClosesHasLeft(t *testing.T) {
 	s, e, _ := serving(t, 4)
 	c, _ := connect(t, s)
