End forwards to a process that the list shows to have restarted

The list tells when the process was born; what was opened before leads nowhere, and is reported as a reset.

--- a/internal/routing/fleet.go
+++ b/internal/routing/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"canvasroute/decide"
 	"canvasroute/internal/protocol"
@@ -32,8 +33,15 @@
 var listed = map[string]decide.State{protocol.Ready: decide.Healthy, protocol.Terminating: decide.Draining,
 	protocol.Gone: decide.Gone}
 
-// take turns a list into the decisions' entries. stale names addresses whose connections are of no more use.
-func (f *fleet) take(l *protocol.List) (entries []decide.Entry, stale []string) {
+// stale is an address whose idle connections are of no more use; nor are the others, if they were opened
+// before the process was born that is there now.
+type stale struct {
+	address string
+	born    time.Time // zero where the process is the same
+}
+
+// take turns a list into the decisions' entries, and tells what it makes stale.
+func (f *fleet) take(l *protocol.List) (entries []decide.Entry, old []stale) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version = l.Version
@@ -56,8 +64,12 @@
 		if e.BornMs > 0 {
 			w.born = max(w.born, f.clock(e.BornMs))
 		}
-		if was.address != "" && (state != decide.Healthy || w.address != was.address || w.born > was.born) {
-			stale = append(stale, was.address)
+		switch {
+		case was.address == "":
+		case w.born > was.born:
+			old = append(old, stale{was.address, time.UnixMilli(int64(e.BornMs))})
+		case state != decide.Healthy || w.address != was.address:
+			old = append(old, stale{address: was.address})
 		}
 		if _, known := f.zones[e.Zone]; !known { // not one of those in the settings, nor like any other
 			f.zones[e.Zone] = len(f.zones)
@@ -67,10 +79,10 @@
 	}
 	for n := range f.workers {
 		if w := &f.workers[n]; l.Whole && !seen[decide.Worker(n)] && !w.gone {
-			w.gone, stale = true, append(stale, w.address)
+			w.gone, old = true, append(old, stale{address: w.address})
 		}
 	}
-	return entries, stale
+	return entries, old
 }
 
 func (f *fleet) address(w decide.Worker) string {
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -107,10 +107,12 @@
 		return err
 	}
 	r.counts.Lists.Add(1)
-	entries, stale := r.fleet.take(&l)
+	entries, old := r.fleet.take(&l)
 	r.facade.ReportList(entries, l.Whole, false)
-	for _, addr := range stale {
-		r.pool.Forget(addr)
+	for _, o := range old {
+		if r.pool.Forget(o.address); !o.born.IsZero() {
+			r.pool.Bury(o.address, o.born)
+		}
 	}
 	r.settled.Store(true)
 	return nil
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -10,6 +11,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"canvasroute/decide"
 	"canvasroute/internal/protocol"
 )
 
@@ -78,8 +80,12 @@
 func TestListNamesConnectionsOfNoMoreUse(t *testing.T) {
 	r := routerTo("127.0.0.1:1")
 	take := func(whole bool, e ...protocol.Entry) []string {
-		_, stale := r.fleet.take(&protocol.List{Version: 8, Whole: whole, Entries: e})
-		return stale
+		_, old := r.fleet.take(&protocol.List{Version: 8, Whole: whole, Entries: e})
+		addresses := []string{}
+		for _, o := range old {
+			addresses = append(addresses, o.address)
+		}
+		return addresses
 	}
 	w := protocol.Entry{ID: "w", Address: "127.0.0.1:1", State: protocol.Ready}
 	assert.Empty(t, take(false, w), "nothing has changed")
@@ -95,6 +101,23 @@
 	assert.Equal(t, int64(8), r.fleet.listVersion())
 }
 
+// Guards against a machine that vanishes and comes back: what it had taken is gone, and nobody says so.
+func TestForwardToAProcessThatHasSinceRestartedIsReset(t *testing.T) {
+	taken := make(chan bool, 1)
+	r := routerTo(standIn(t, func(c net.Conn, _ *http.Request) {
+		taken <- true
+		c.Read(make([]byte, 1))
+	}))
+	go func() {
+		<-taken
+		line := fmt.Sprintf(`{"seq":9,"whole":false,"hosts":[{"host":"w","health":"Ready","born_ms":%d}]}`,
+			time.Now().Add(time.Second).UnixMilli())
+		assert.NoError(t, r.takeList([]byte(line)))
+	}()
+	assert.Equal(t, 502, r.Serve(context.Background(), invocation("once"), nil, time.Now()).Status)
+	assert.Equal(t, int64(1), r.counts.outcomes[decide.Reset].Load())
+}
+
 // Guards against two zones taken for one: a dedup group would be too large.
 func TestZonesThatTheSettingsDoNotNameAreUnlikeAllOthers(t *testing.T) {
 	r := routerTo("127.0.0.1:1")
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -59,6 +59,7 @@
 	counter  meter
 	log      zerolog.Logger
 	ended    sync.Once
+	dead     atomic.Bool // the process at the other end is known to have ended
 	onEnd    func()
 }
 
@@ -99,6 +100,9 @@
 func (c *Conn) End(why Reason, cause error) {
 	c.ended.Do(func() {
 		c.nc.Close()
+		if c.dead.Load() {
+			why = StaleRetired
+		}
 		e := c.log.Info().Str("side", string(c.side)).Str("addr", c.addr).Str("reason", string(why)).
 			Dur("age_ms", time.Since(c.opened)).Int("messages", c.messages).
 			Int64("read", c.counter.read.Load()).Int64("written", c.counter.written.Load())
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -174,6 +174,19 @@
 	}
 }
 
+// Bury ends every connection to an address that was opened before a moment: the process that it led to has
+// ended by then. It guards against a machine that vanished and came back: nothing ever comes on those.
+func (p *Pool) Bury(addr string, before time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c, to := range p.out {
+		if to == addr && c.opened.Before(before) {
+			c.dead.Store(true)
+			c.Interrupt()
+		}
+	}
+}
+
 // Run retires idle connections until ctx ends, and then ends them all.
 func (p *Pool) Run(ctx context.Context) error {
 	ticks := time.NewTicker(max(p.idleMost/16, 10*time.Millisecond))
--- a/internal/transport/pool_test.go
+++ b/internal/transport/pool_test.go
@@ -106,6 +106,23 @@
 	get(t, p, addr)
 }
 
+func TestPoolBuriesWhatLedToAProcessThatHasEnded(t *testing.T) {
+	addr, _ := worker(t)
+	var log bytes.Buffer
+	p := NewPool(2, time.Minute, zerolog.New(&log))
+	old, fresh := get(t, p, addr), get(t, p, addr)
+	old.opened = time.Now().Add(-time.Minute)
+	p.Bury(addr, time.Now().Add(-time.Second))
+	_, err := old.Answer()
+	assert.Equal(t, TooSlow, Blame(err), "the wait on it ends")
+	old.End(Blame(err), err)
+	assert.Contains(t, log.String(), "stale_retired")
+	fresh.Within(10 * time.Millisecond)
+	_, err = fresh.Answer()
+	assert.Error(t, err)
+	assert.False(t, fresh.dead.Load())
+}
+
 func TestPoolThatEndsLeavesNothingOpen(t *testing.T) {
 	addr, _ := worker(t)
 	p := NewPool(2, time.Minute, zerolog.Nop())
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -155,8 +155,8 @@
 	return n
 }
 
-// makeRoom ends the connection that has stood idle longest, or else the one longest about a message. It guards
-// against clients that open many connections and bring nothing on them, or bring it byte by byte.
+// makeRoom ends the connection that has stood idle longest, or else the one longest about a message. It
+// guards against clients that open many connections and bring nothing on them, or bring it byte by byte.
 func (s *Server) makeRoom() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
