Take a cost or slots out of all proportion as malformed

Checked by reading: Req-Cost and Req-Extra were bounded each, but their product could run over the whole numbers in which sizes are summed for the cut points.

--- a/internal/protocol/http_test.go
+++ b/internal/protocol/http_test.go
@@ -141,7 +141,8 @@
 	for _, fields := range []string{"Req-Kind: a", "Req-Id: ", "Req-Id: a\r\nReq-Id: b",
 		"Req-Id: a\r\nReq-Deadline: x",
 		"Req-Id: a\r\nReq-Deadline: -1", "Req-Id: a\r\nReq-Deadline: NaN", "Req-Id: a\r\nReq-Cost: Inf",
-		"Req-Id: a\r\nReq-Extra: slots=x", "Req-Id: " + strings.Repeat("a", 300)} {
+		"Req-Id: a\r\nReq-Extra: slots=x", "Req-Id: a\r\nReq-Cost: 1e15", "Req-Id: a\r\nReq-Extra: slots=1e9",
+		"Req-Id: " + strings.Repeat("a", 300)} {
 		_, err := ParseInvocation(askHead(t, fields))
 		assert.ErrorIs(t, err, ErrMalformed, fields)
 	}
--- a/internal/protocol/invocation.go
+++ b/internal/protocol/invocation.go
@@ -27,6 +27,12 @@
 	{fieldDedup, "Idempotency-Key"}, {"content-type", "Content-Type"},
 }
 
+// No invocation costs or takes more. It guards the sums over hints against one that is out of all proportion.
+const (
+	mostCost  = 1e12 // in microseconds
+	mostSlots = 1e6
+)
+
 // ParseInvocation reads an invocation's head. The error says what is malformed.
 func ParseInvocation(h *Head) (*Invocation, error) {
 	inv := &Invocation{Method: h.Method, Target: h.Target, ID: h.Field(fieldID), Operation: h.Field(fieldKind),
@@ -48,7 +54,7 @@
 	}
 	if v := h.Field(fieldCost); v != "" {
 		us, err := strconv.ParseFloat(v, 64)
-		if err != nil || !(us >= 0 && us < math.MaxInt32*1e6) {
+		if err != nil || !(us >= 0 && us <= mostCost) {
 			return nil, fmt.Errorf("%w: Req-Cost %.40q", ErrMalformed, v)
 		}
 		inv.Hint = time.Duration(us * float64(time.Microsecond))
@@ -59,7 +65,7 @@
 			continue
 		}
 		s, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(s >= 0 && s < math.MaxInt32) {
+		if err != nil || !(s >= 0 && s <= mostSlots) {
 			return nil, fmt.Errorf("%w: Req-Extra %.40q", ErrMalformed, pair)
 		}
 		inv.Slots = s
