--- a/internal/routing/fleet.go
+++ b/internal/routing/fleet.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"canvasroute/decide"
 	"canvasroute/internal/protocol"
 )
@@ -15,6 +17,7 @@
 type fleet struct {
 	zones, kinds map[string]int
 	clock        func(unixMs float64) decide.Time
+	log          zerolog.Logger
 
 	mu      sync.Mutex
 	numbers map[string]decide.Worker
@@ -52,6 +55,7 @@
 			n = decide.Worker(len(f.workers))
 			f.numbers[e.ID] = n
 			f.workers = append(f.workers, worker{tag: protocol.Tag(e.ID)})
+			f.log.Info().Int("worker", int(n)).Str("host", e.ID).Str("addr", e.Address).Msg("worker named")
 			if _, taken := f.tagged[f.workers[n].tag]; !taken {
 				f.tagged[f.workers[n].tag] = n
 			}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -58,7 +58,7 @@
 func New(t Terms, f *decide.Facade, p *transport.Pool, d *transport.Datagrams, log zerolog.Logger) *Router {
 	r := &Router{terms: t, facade: f, pool: p, datagrams: d, log: log, heard: make([]stamp, len(t.Peers)),
 		operations: map[string]decide.Operation{}, owners: map[string]decide.Customer{},
-		fleet: fleet{zones: numbered(t.Zones), kinds: numbered(t.Kinds), clock: t.FromUnix,
+		fleet: fleet{zones: numbered(t.Zones), kinds: numbered(t.Kinds), clock: t.FromUnix, log: log,
 			numbers: map[string]decide.Worker{}, tagged: map[uint16]decide.Worker{}}}
 	for n, o := range t.Operations {
 		r.operations[o.Name] = decide.Operation(n)
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -9,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 
 	"canvasroute/decide"
@@ -77,6 +79,17 @@
 	assert.Equal(t, 429, r.Serve(context.Background(), invocation("once"), nil, time.Now()).Status)
 }
 
+func TestNumberOfAWorkerIsTiedToItsNameInTheLog(t *testing.T) {
+	var log bytes.Buffer
+	r := routerTo("127.0.0.1:1")
+	r.fleet.log = zerolog.New(&log)
+	v := protocol.Entry{ID: "v", Address: "127.0.0.1:2", State: protocol.Ready}
+	r.fleet.take(&protocol.List{Entries: []protocol.Entry{v}})
+	r.fleet.take(&protocol.List{Entries: []protocol.Entry{v}})
+	line := `{"level":"info","worker":1,"host":"v","addr":"127.0.0.1:2","message":"worker named"}`
+	assert.JSONEq(t, line, log.String(), "once")
+}
+
 func TestListNamesConnectionsOfNoMoreUse(t *testing.T) {
 	r := routerTo("127.0.0.1:1")
 	take := func(whole bool, e ...protocol.Entry) []string {
