Read the configuration anew on SIGHUP and watch the list where it now is

Checked: program.go, Run took SIGTERM, SIGINT and SIGUSR1 alone, and only after the configuration had been read. Every signal is now taken from the start of Main, a channel for each sort. Ruled out: an end by the reader or the watch, as the log stops at the signal with no counters. The watch at the old address is ended and the new one begun without the wait after failed calls; an ask that was left over from before a failure is dropped (facade.go, ReportListLost).

--- a/decide/facade.go
+++ b/decide/facade.go
@@ -296,8 +296,23 @@
 	f.with(func(d *Dispatcher) { d.Listed(entries, whole, !known) })
 }
 
-// ReportListLost tells that the list could not be had, or is no longer followed.
-func (f *Facade) ReportListLost() { f.with((*Dispatcher).ListFailed) }
+// ReportListLost tells that the list could not be had, or is no longer followed. What was asked for before is
+// answered by that: else it would be asked for again with no wait.
+func (f *Facade) ReportListLost() {
+	f.with(func(d *Dispatcher) {
+		select {
+		case <-f.ask:
+		default:
+		}
+		d.ListFailed()
+	})
+}
+
+// ReportListMoved tells that the list is to be had elsewhere from now on: it is asked for at once, however
+// long the wait was to be after calls to the old place.
+func (f *Facade) ReportListMoved() {
+	f.with(func(d *Dispatcher) { d.subscribed, d.asks, d.askAt = false, 0, d.now })
+}
 
 // ReportPeer takes what a peer tells of a worker. One whose list is on its way to the rules is not known yet.
 func (f *Facade) ReportPeer(from Peer, l Load) {
--- a/decide/facade_test.go
+++ b/decide/facade_test.go
@@ -181,3 +181,19 @@
 	assert.NoError(t, err)
 	assert.Equal(t, []News{{1, []Load{{0, 2}, {1, 3}}}, {0, []Load{{0, 2}}}}, news)
 }
+
+// Guards against a list service that is asked again with no wait, and one that is asked late after it moved.
+func TestListIsAskedForAgainAfterAWaitOrAtOnceWhereItMoved(t *testing.T) {
+	terms := someTerms
+	terms.AskForList = true
+	f, now := facadeOf(terms, 1)
+	asked := func() bool { return len(f.ask) > 0 }
+	f.ReportListLost()
+	*now += 5 * Second
+	f.with(func(*Dispatcher) {})
+	assert.True(t, asked(), "and nobody takes it up before the next word")
+	f.ReportListLost()
+	assert.False(t, asked())
+	f.ReportListMoved()
+	assert.True(t, asked())
+}
--- a/internal/program/placement.go
+++ b/internal/program/placement.go
@@ -62,6 +62,17 @@
 	return p, nil
 }
 
+// ReadAnew takes the configuration of a dispatcher that runs already: now the file says where the list service
+// is, as the environment still has what held at the start.
+func ReadAnew(getenv func(string) string) (*Placement, error) {
+	return Read(func(variable string) string {
+		if variable == "LB_DISCOVERY" {
+			return ""
+		}
+		return getenv(variable)
+	})
+}
+
 func parse(text []byte, getenv func(string) string) (*Placement, error) {
 	v, err := fastjson.ParseBytes(text)
 	if err != nil {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -6,10 +6,8 @@
 	"math"
 	"net/netip"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -33,6 +31,9 @@
 
 // Main runs a dispatcher and returns the code that the process exits with.
 func Main() int {
+	// Before anything else: a signal that nobody takes would kill the process.
+	heard := listen()
+	defer heard.stop()
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
 	p, err := Read(os.Getenv)
@@ -40,20 +41,19 @@
 		log.Error().Err(err).Msg("bad configuration")
 		return 2
 	}
-	if err := Run(p, log.With().Str("name", p.Name).Logger()); err != nil {
+	anew := func() (*Placement, error) { return ReadAnew(os.Getenv) }
+	if err := Run(p, anew, heard, log.With().Str("name", p.Name).Logger()); err != nil {
 		log.Error().Err(err).Msg("ended by a fault")
 		return 1
 	}
 	return 0
 }
 
-// Run serves until it is told to end, and then answers all that it has taken.
-func Run(p *Placement, log zerolog.Logger) error {
+// Run serves until it is told to end, and then answers all that it has taken. anew reads the configuration
+// again.
+func Run(p *Placement, anew func() (*Placement, error), heard *signals, log zerolog.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Cores))))
 	debug.SetMemoryLimit(int64(float64(p.MemoryMB) * (1 << 20) * memoryShare))
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	defer signal.Stop(signals)
 
 	start := time.Now()
 	base := decide.Time(start.UnixMicro() / 100)
@@ -88,7 +88,9 @@
 	})
 	g.Go(func() error { return router.Run(working) })
 	g.Go(func() error { return pool.Run(working) })
-	g.Go(func() error { return attend(signals, failed, working, p, server, router, stopAccepting, log) })
+	g.Go(func() error {
+		return attend(heard, failed, working, p, anew, server, router, stopAccepting, log)
+	})
 	err = g.Wait()
 	router.Print("exit")
 	return err
@@ -105,9 +107,10 @@
 	return transport.ListenDatagrams(addr)
 }
 
-// attend answers signals: counters on SIGUSR1, and the drain on SIGTERM or SIGINT.
-func attend(signals <-chan os.Signal, failed, working context.Context, p *Placement, server *transport.Server,
-	router *routing.Router, stopAccepting func(), log zerolog.Logger) error {
+// attend answers signals: counters on SIGUSR1, the configuration anew on SIGHUP, and the drain on SIGTERM or
+// SIGINT.
+func attend(heard *signals, failed, working context.Context, p *Placement, anew func() (*Placement, error),
+	server *transport.Server, router *routing.Router, stopAccepting func(), log zerolog.Logger) error {
 	for {
 		select {
 		case <-working.Done():
@@ -115,11 +118,11 @@
 		case <-failed.Done():
 			stopAccepting()
 			return nil
-		case s := <-signals:
-			if s == syscall.SIGUSR1 {
-				router.Print("asked")
-				continue
-			}
+		case <-heard.count:
+			router.Print("asked")
+		case <-heard.reload:
+			p = reload(p, anew, router, log)
+		case s := <-heard.end:
 			log.Info().Str("signal", s.String()).Msg("draining")
 			router.Drain(min(p.Longest, longestDrain)+drainMore, acceptFor)
 			server.Closing()
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -110,7 +111,8 @@
 }
 
 // running starts a dispatcher with one worker, which answers after a wait, and a list service that is down.
-func running(t *testing.T, wait time.Duration) (url string, log *syncBuffer, ended <-chan error) {
+func running(t *testing.T, wait time.Duration, anew func() (*Placement, error)) (url string, log *syncBuffer,
+	ended <-chan error) {
 	worker := http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case <-time.After(wait):
@@ -131,7 +133,9 @@
 	assert.NoError(t, err)
 	p.Decisions.Peers, p.Routing.Known.Entries[0].Address, p.Longest = false, ln.Addr().String(), time.Second
 	log, end := &syncBuffer{}, make(chan error, 1)
-	go func() { end <- Run(p, zerolog.New(log)) }()
+	heard := listen()
+	t.Cleanup(heard.stop)
+	go func() { end <- Run(p, anew, heard, zerolog.New(log)) }()
 	url = "http://" + p.Listen
 	assert.Eventually(t, func() bool {
 		a, err := http.Get(url + "/_health")
@@ -165,7 +169,7 @@
 		status int
 		body   string
 	}{{300 * time.Millisecond, 200, "made"}, {time.Minute, 429, ""}} {
-		url, log, ended := running(t, c.wait)
+		url, log, ended := running(t, c.wait, nil)
 		answered := make(chan struct{})
 		go func() {
 			defer close(answered)
@@ -187,3 +191,44 @@
 		assert.Contains(t, log.String(), `"why":"exit","open":0,"taken":1`)
 	}
 }
+
+// Guards against a process that SIGHUP ends, and one that goes on with a list service that has moved.
+func TestSighupReadsTheConfigurationAnew(t *testing.T) {
+	asked := make(chan string, 8)
+	list := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.String()
+		io.WriteString(w, "\n")
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	defer list.Close()
+	path := filepath.Join(t.TempDir(), "config.json")
+	url, log, ended := running(t, 200*time.Millisecond, func() (*Placement, error) {
+		return ReadAnew(environment("LB_CONFIG", path, "LB_DISCOVERY", "127.0.0.1:9"))
+	})
+	told := func(what string) func() bool { return func() bool { return strings.Contains(log.String(), what) } }
+	turn := func(text string) {
+		assert.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		assert.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	}
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		status, body := invoke(t, url)
+		assert.Equal(t, []any{200, "made"}, []any{status, body}, "no open invocation notices")
+	}()
+	turn(`{"name":`)
+	assert.Eventually(t, told("bad configuration, the old one is kept"), 5*time.Second, time.Millisecond)
+	there := strings.TrimPrefix(list.URL, "http://")
+	turn(strings.NewReplacer("127.0.0.1:8500", there, `"sockets":1024`, `"sockets":512`).Replace(configuration))
+	select {
+	case target := <-asked:
+		assert.Equal(t, "/catalog/members?stream=1&index=41", target)
+	case <-time.After(time.Second):
+		t.Fatal("the new address is not asked at once")
+	}
+	assert.Contains(t, log.String(), `"at_next_start":["listen","limits","settings"]`, "the test has set some")
+	<-answered
+	assert.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	assert.NoError(t, <-ended)
+}
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"canvasroute/decide"
@@ -20,15 +21,51 @@
 	mostList    = 8 << 20                 // one line
 )
 
+// place is where the list service is, and what ends the watch there.
+type place struct {
+	mu      sync.Mutex
+	address string
+	leave   context.CancelCauseFunc // nil while there is no watch
+}
+
+// errMoved is the cause of the end of a watch on a list service that has moved.
+var errMoved = errors.New("list: the service has moved")
+
+// Move watches the list at another address from now on, and at once. What is known of workers stays.
+func (r *Router) Move(address string) {
+	r.place.mu.Lock()
+	moved, leave := r.place.address != address, r.place.leave
+	r.place.address = address
+	r.place.mu.Unlock()
+	switch {
+	case !moved:
+	case leave != nil:
+		leave(errMoved)
+	default:
+		r.facade.ReportListMoved()
+	}
+}
+
 // follow watches the list whenever the decisions ask for it, and reports when a watch has ended.
 func (r *Router) follow(ctx context.Context) error {
 	for {
 		if err := r.facade.PickWatch(ctx); err != nil {
 			return nil
 		}
-		err := r.watch(ctx)
-		if ctx.Err() != nil {
+		watching, leave := context.WithCancelCause(ctx)
+		err := r.watch(watching, leave)
+		r.place.mu.Lock()
+		r.place.leave = nil
+		moved := errors.Is(context.Cause(watching), errMoved)
+		r.place.mu.Unlock()
+		leave(nil)
+		switch {
+		case ctx.Err() != nil:
 			return nil
+		case moved:
+			r.log.Info().Msg("list watch moves")
+			r.facade.ReportListMoved()
+			continue
 		}
 		r.counts.WatchesLost.Add(1)
 		r.log.Warn().Err(err).Msg("list watch lost")
@@ -38,10 +75,14 @@
 }
 
 // watch makes one call and takes its lines until it ends, with an error always.
-func (r *Router) watch(ctx context.Context) error {
+func (r *Router) watch(ctx context.Context, leave context.CancelCauseFunc) error {
+	r.place.mu.Lock()
+	r.place.leave = leave
+	address := r.place.address
+	r.place.mu.Unlock()
 	dialing, cancel := context.WithTimeout(ctx, min(r.terms.DialWithin*4, callWithin))
 	defer cancel()
-	conn, err := transport.Dial(dialing, r.terms.Discovery, transport.Lister, r.log)
+	conn, err := transport.Dial(dialing, address, transport.Lister, r.log)
 	if err != nil {
 		return err
 	}
@@ -89,6 +130,8 @@
 		return broken == nil
 	})
 	switch {
+	case errors.Is(context.Cause(ctx), errMoved):
+		return transport.StaleRetired, nil
 	case ctx.Err() != nil:
 		return transport.Ending, nil
 	case broken != nil:
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -48,6 +48,7 @@
 	forwards   errgroup.Group
 	heard      []stamp
 	counts     Counts
+	place      place
 
 	settled  atomic.Bool // the first call for the list has been answered, or has failed
 	draining atomic.Bool
@@ -57,6 +58,7 @@
 // New makes a router and gives the facade the list that it starts with.
 func New(t Terms, f *decide.Facade, p *transport.Pool, d *transport.Datagrams, log zerolog.Logger) *Router {
 	r := &Router{terms: t, facade: f, pool: p, datagrams: d, log: log, heard: make([]stamp, len(t.Peers)),
+		place:      place{address: t.Discovery},
 		operations: map[string]decide.Operation{}, owners: map[string]decide.Customer{},
 		fleet: fleet{zones: numbered(t.Zones), kinds: numbered(t.Kinds), clock: t.FromUnix, log: log,
 			numbers: map[string]decide.Worker{}, tagged: map[uint16]decide.Worker{}}}
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -166,11 +166,11 @@
 func watched(t *testing.T, text string, ends bool) (*Router, string) {
 	asked := make(chan string, 1)
 	r := routerTo("127.0.0.1:1")
-	r.terms.Discovery = standIn(t, func(c net.Conn, q *http.Request) {
+	r.place.address = standIn(t, func(c net.Conn, q *http.Request) {
 		asked <- q.URL.String()
 		says(text, ends)(c, q)
 	})
-	err := r.watch(context.Background())
+	err := r.watch(context.Background(), nil)
 	assert.Equal(t, "/catalog/members?stream=1&index=7", <-asked)
 	return r, err.Error()
 }
