Bound bad clients from connecting, refuse at the door, let them make room first

Ruled out: the pool and the descriptors (220 of 384), CPU (0.07 s in the busiest second). Changed: places.go ranks connections by use and evicts without holding up accepting, a first message is bound from connecting; ids.go refuses an open id; head.go, body.go and invocation.go refuse what workers may read otherwise; room.go derives connections and bodies from both limits.

--- a/internal/program/placement.go
+++ b/internal/program/placement.go
@@ -221,7 +221,8 @@
 		t.ComeBackMost = p.Decisions.ComeBackMost.Duration()
 	}
 	for n, o := range settings.GetArray("operations") {
-		op := routing.Operation{Name: string(o.GetStringBytes("name")), Timeout: usualTimeout}
+		op := routing.Operation{Name: string(o.GetStringBytes("name")), Timeout: usualTimeout,
+			Keyed: n < len(p.Decisions.Operations) && p.Decisions.Operations[n].Repeat == decide.Deduplicated}
 		if s := o.GetFloat64("clientTimeoutS"); s > 0 {
 			op.Timeout = time.Duration(s * float64(time.Second))
 		}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -18,12 +18,8 @@
 	"canvasroute/internal/transport"
 )
 
-// Shares of the limits.
+// Bounds on the end.
 const (
-	memoryShare  = 0.75 // of the memory limit is the collector's; the rest is stacks, buffers in use and files
-	clientShare  = 0.5  // of the descriptors go to clients
-	spareShare   = 0.125
-	ownSockets   = 24 // listener, datagrams, the list, standard streams, the poller, and some in passing
 	acceptFor    = 500 * time.Millisecond
 	longestDrain = 3 * time.Second        // or the longest client timeout: no sooner are we killed,
 	drainMore    = 350 * time.Millisecond // and not within twice this after it
@@ -53,7 +49,8 @@
 // again.
 func Run(p *Placement, anew func() (*Placement, error), heard *signals, log zerolog.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Cores))))
-	debug.SetMemoryLimit(int64(float64(p.MemoryMB) * (1 << 20) * memoryShare))
+	room := p.room()
+	debug.SetMemoryLimit(room.heap)
 
 	start := time.Now()
 	base := decide.Time(start.UnixMicro() / 100)
@@ -61,20 +58,17 @@
 	p.Routing.FromUnix = func(ms float64) decide.Time { return decide.Time(ms * 10) }
 	facade := decide.NewFacade(p.Decisions, p.Seed, clock, func(line string) { log.Warn().Msg(line) })
 
-	room := p.Sockets - ownSockets
-	clients := int(float64(room) * clientShare)
-	workers := room - clients - int(float64(clients)*spareShare) - 1
-	pool := transport.NewPool(workers, p.Idle, log)
+	pool := transport.NewPool(room.workers, p.Idle, log)
 	datagrams, err := peerSocket(p)
 	if err != nil {
 		return err
 	}
 	router := routing.New(p.Routing, facade, pool, datagrams, log)
-	server, err := transport.Listen(p.Listen, clients, router, log)
+	server, err := transport.Listen(p.Listen, room.clients, room.bodies, router, log)
 	if err != nil {
 		return err
 	}
-	log.Info().Str("listen", p.Listen).Int("clients", clients).Int("workers", workers).Msg("started")
+	log.Info().Str("listen", p.Listen).Int("clients", room.clients).Int("workers", room.workers).Msg("started")
 
 	// Lifetimes: accepting ends first, then the connections of clients, then what forwards need.
 	accepting, stopAccepting := context.WithCancel(context.Background())
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -92,6 +92,17 @@
 	assert.ErrorIs(t, err, os.ErrNotExist)
 }
 
+// Guards against limits at their least together: many descriptors, and no memory for as many connections.
+func TestRoomFollowsFromBothLimits(t *testing.T) {
+	for _, c := range []struct{ memory, sockets, clients, workers int }{
+		{192, 1024, 600, 362}, {32, 256, 139, 84}, {32, 1024, 307, 185},
+	} {
+		r := (&Placement{MemoryMB: c.memory, Sockets: c.sockets}).room()
+		assert.Equal(t, []int{c.clients, c.workers}, []int{r.clients, r.workers})
+		assert.Less(t, (r.clients*17/16+r.workers)*connBytes+int(r.bodies), c.memory<<20*3/4)
+	}
+}
+
 // syncBuffer is a log that is read while it is written.
 type syncBuffer struct {
 	mu sync.Mutex
--- a/internal/protocol/body.go
+++ b/internal/protocol/body.go
@@ -12,6 +12,7 @@
 	left    int64 // of the body, or of the chunk at hand
 	chunked bool
 	toEnd   bool // it lasts until the connection ends
+	strict  bool // lines have to end as they should
 	state   chunkState
 }
 
@@ -29,7 +30,14 @@
 const mostSizeLine = 1 << 10
 
 // AskBody is the body that a head announces. A length twice, or with a coding, could be read in two ways.
-func AskBody(h *Head) (Body, error) { return frame(h, false) }
+func AskBody(h *Head) (Body, error) {
+	if len(h.all("transfer-encoding")) > 0 && h.minor == 0 {
+		return Body{}, fmt.Errorf("%w: transfer-encoding in HTTP/1.0", ErrMalformed)
+	}
+	b, err := frame(h, false)
+	b.strict = true
+	return b, err
+}
 
 // AnswerBody is the body that the head of an answer announces.
 func AnswerBody(h *Head) (Body, error) {
@@ -65,6 +73,14 @@
 	return b.left
 }
 
+// Room is the most that a body that is taken can hold.
+func (b *Body) Room() int64 {
+	if b.chunked {
+		return MostBody
+	}
+	return min(b.left, MostBody)
+}
+
 // Done tells whether the body is whole.
 func (b *Body) Done() bool {
 	if b.chunked {
@@ -98,7 +114,10 @@
 	if end < 0 {
 		return nil, 0, nil
 	}
-	line := strings.TrimSuffix(string(in[:end]), "\r")
+	line, whole := strings.CutSuffix(string(in[:end]), "\r")
+	if b.strict && !whole {
+		return nil, 0, fmt.Errorf("%w: chunk line that ends in a bare LF", ErrMalformed)
+	}
 	switch b.state {
 	case afterData:
 		if line != "" {
--- a/internal/protocol/head.go
+++ b/internal/protocol/head.go
@@ -27,6 +27,9 @@
 	return ""
 }
 
+// has tells whether there is a field of that name, be it empty.
+func (h *Head) has(name string) bool { return len(h.all(name)) > 0 }
+
 func (h *Head) all(name string) (values []string) {
 	for _, f := range h.fields {
 		if f.name == name {
@@ -61,14 +64,19 @@
 // Expects tells whether the sender waits for a word before it sends the body.
 func (h *Head) Expects() bool { return strings.EqualFold(h.Field("expect"), "100-continue") }
 
-// ParseAsk reads the head of what is asked from the start of b. used is 0 while it is not whole.
+// ParseAsk reads the head of what is asked from the start of b. used is 0 while it is not whole. It takes
+// nothing that another reader may take for something else: no bare LF, no control bytes.
 func ParseAsk(b []byte) (h Head, used int, err error) {
 	line, rest, used, err := cutHead(b)
 	if used == 0 || err != nil {
 		return h, used, err
 	}
+	head := b[:used]
+	if bytes.Count(head, []byte("\n")) != bytes.Count(head, []byte("\r\n")) {
+		return h, used, fmt.Errorf("%w: a line that ends in a bare LF", ErrMalformed)
+	}
 	parts := strings.Split(line, " ")
-	if len(parts) != 3 || !token(parts[0]) || !strings.HasPrefix(parts[1], "/") {
+	if len(parts) != 3 || !token(parts[0]) || !strings.HasPrefix(parts[1], "/") || !visible(parts[1]) {
 		return h, used, fmt.Errorf("%w: first line %.80q", ErrMalformed, line)
 	}
 	h.Method, h.Target = parts[0], parts[1]
@@ -133,7 +141,7 @@
 		}
 		name, value, ok := strings.Cut(line, ":")
 		value = strings.Trim(value, " \t")
-		if !ok || !token(name) || strings.ContainsAny(value, "\r\x00") {
+		if !ok || !token(name) || strings.ContainsFunc(value, control) {
 			return nil, fmt.Errorf("%w: field %.80q", ErrMalformed, line)
 		}
 		fields = append(fields, field{strings.ToLower(name), value})
@@ -141,6 +149,14 @@
 	return fields, nil
 }
 
+// control tells whether r may stand in no field.
+func control(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+
+// visible tells whether s is of printing ASCII alone.
+func visible(s string) bool {
+	return s != "" && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r >= 0x7f })
+}
+
 // token tells whether s is a method or a field's name.
 func token(s string) bool {
 	for _, c := range []byte(s) {
--- a/internal/protocol/http_test.go
+++ b/internal/protocol/http_test.go
@@ -21,14 +21,16 @@
 	assert.Equal(t, "rest", text[used:])
 	assert.Equal(t, []string{"POST", "/api?x=1", "/api", "a", "b"},
 		[]string{h.Method, h.Target, h.Path(), h.Field("req-id"), h.Field("x")})
-	_, used, err = ParseAsk([]byte("GET / HTTP/1.1\nA: b\n\n"))
+	_, used, err = ParseAnswer([]byte("HTTP/1.1 200 OK\nA: b\n\n"))
 	assert.NoError(t, err)
-	assert.NotZero(t, used, "bare line ends are taken as well")
+	assert.NotZero(t, used, "of workers bare line ends are taken as well")
 }
 
 func TestBadHeadsAreMalformed(t *testing.T) {
 	for _, text := range []string{
 		"POST /api\r\n\r\n", "POST api HTTP/1.1\r\n\r\n", "P(ST / HTTP/1.1\r\n\r\n", "GET / HTTP/2.0\r\n\r\n",
+		"GET / HTTP/1.1\nA: b\n\n", "GET / HTTP/1.1\r\nA: b\nC: d\r\n\r\n", "GET /\x01 HTTP/1.1\r\n\r\n",
+		"GET /\xc3\xa9 HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nA: b\x07\r\n\r\n", "GET / HTTP/1.1\r\nA: b\rC: d\r\n\r\n",
 		"GET / HTTP/1.1\r\nno colon\r\n\r\n", "GET / HTTP/1.1\r\nA b: c\r\n\r\n", "GET / HTTP/1.1\r\n : c\r\n\r\n",
 	} {
 		_, _, err := ParseAsk([]byte(text))
@@ -64,6 +66,12 @@
 		_, err = AskBody(&h)
 		assert.ErrorIs(t, err, ErrMalformed, fields)
 	}
+	h, _, err := ParseAsk([]byte("POST /api HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"))
+	assert.NoError(t, err)
+	_, err = AskBody(&h)
+	assert.ErrorIs(t, err, ErrMalformed)
+	_, err = whole(Body{chunked: true, strict: true}, "1\n", 2)
+	assert.ErrorIs(t, err, ErrMalformed, "the line of a chunk that ends in a bare LF")
 }
 
 // whole puts a body together from pieces of the given size.
@@ -140,6 +148,9 @@
 func TestInvocationsThatCannotBeTaken(t *testing.T) {
 	for _, fields := range []string{"Req-Kind: a", "Req-Id: ", "Req-Id: a\r\nReq-Id: b",
 		"Req-Id: a\r\nReq-Deadline: x",
+		"Req-Id: a\r\nReq-Deadline: ", "Req-Id: a\r\nReq-Deadline: 1e1", "Req-Id: a\r\nReq-Deadline: 0x1p3",
+		"Req-Id: a\r\nReq-Deadline: 0", "Req-Id: a\r\nReq-Cost:", "Req-Id: a b", "Req-Id: \xe9",
+		"Req-Id: a\r\nIdempotency-Key: ", "Req-Id: a\r\nReq-Cost: 1\r\nReq-Cost: 2",
 		"Req-Id: a\r\nReq-Deadline: -1", "Req-Id: a\r\nReq-Deadline: NaN", "Req-Id: a\r\nReq-Cost: Inf",
 		"Req-Id: a\r\nReq-Extra: slots=x", "Req-Id: a\r\nReq-Cost: 1e15", "Req-Id: a\r\nReq-Extra: slots=1e9",
 		"Req-Id: " + strings.Repeat("a", 300)} {
--- a/internal/protocol/invocation.go
+++ b/internal/protocol/invocation.go
@@ -17,6 +17,7 @@
 	Timeout          time.Duration
 	Hint             time.Duration // 0 where there is none
 	Slots            float64       // 0 where not told
+	Dedup            string        // the key by which workers drop repeats, "" where there is none
 	Body             []byte
 
 	passed []field // goes on to workers unchanged
@@ -27,35 +28,43 @@
 	{fieldDedup, "Idempotency-Key"}, {"content-type", "Content-Type"},
 }
 
-// No invocation costs or takes more. It guards the sums over hints against one that is out of all proportion.
+// Bounds on figures. They guard the sums over hints, and spans of time, against one out of all proportion.
 const (
-	mostCost  = 1e12 // in microseconds
-	mostSlots = 1e6
+	mostTimeout = math.MaxInt32 // in seconds
+	mostCost    = 1e12          // in microseconds
+	mostSlots   = 1e6
 )
 
+// once are the fields that are read, or that workers read: two of one name could be taken in two ways.
+var once = []string{fieldID, fieldKind, fieldOwner, fieldTimeout, fieldCost, fieldExtra, fieldDedup,
+	"content-type"}
+
 // ParseInvocation reads an invocation's head. The error says what is malformed.
 func ParseInvocation(h *Head) (*Invocation, error) {
 	inv := &Invocation{Method: h.Method, Target: h.Target, ID: h.Field(fieldID), Operation: h.Field(fieldKind),
-		Owner: h.Field(fieldOwner)}
-	if inv.ID == "" || len(inv.ID) > 256 {
-		return nil, fmt.Errorf("%w: no Req-Id, or a long one", ErrMalformed)
+		Owner: h.Field(fieldOwner), Dedup: h.Field(fieldDedup)}
+	if !visible(inv.ID) || len(inv.ID) > 256 {
+		return nil, fmt.Errorf("%w: no Req-Id, or none of printing characters, or a long one", ErrMalformed)
 	}
-	for _, name := range []string{fieldID, fieldKind, fieldTimeout, fieldDedup} {
+	for _, name := range once {
 		if len(h.all(name)) > 1 {
 			return nil, fmt.Errorf("%w: %s twice", ErrMalformed, name)
 		}
 	}
-	if v := h.Field(fieldTimeout); v != "" {
-		s, err := strconv.ParseFloat(v, 64)
-		if err != nil || !(s > 0 && s < math.MaxInt32) {
-			return nil, fmt.Errorf("%w: Req-Deadline %.40q", ErrMalformed, v)
+	if h.has(fieldDedup) && !visible(inv.Dedup) {
+		return nil, fmt.Errorf("%w: Idempotency-Key %.40q", ErrMalformed, inv.Dedup)
+	}
+	if h.has(fieldTimeout) {
+		s, ok := figure(h.Field(fieldTimeout), mostTimeout)
+		if !ok || s == 0 {
+			return nil, fmt.Errorf("%w: Req-Deadline %.40q", ErrMalformed, h.Field(fieldTimeout))
 		}
 		inv.Timeout = time.Duration(s * float64(time.Second))
 	}
-	if v := h.Field(fieldCost); v != "" {
-		us, err := strconv.ParseFloat(v, 64)
-		if err != nil || !(us >= 0 && us <= mostCost) {
-			return nil, fmt.Errorf("%w: Req-Cost %.40q", ErrMalformed, v)
+	if h.has(fieldCost) {
+		us, ok := figure(h.Field(fieldCost), mostCost)
+		if !ok {
+			return nil, fmt.Errorf("%w: Req-Cost %.40q", ErrMalformed, h.Field(fieldCost))
 		}
 		inv.Hint = time.Duration(us * float64(time.Microsecond))
 	}
@@ -64,8 +73,8 @@
 		if name != "slots" {
 			continue
 		}
-		s, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(s >= 0 && s <= mostSlots) {
+		s, ok := figure(value, mostSlots)
+		if !ok {
 			return nil, fmt.Errorf("%w: Req-Extra %.40q", ErrMalformed, pair)
 		}
 		inv.Slots = s
@@ -78,6 +87,15 @@
 	return inv, nil
 }
 
+// figure reads a plain number from 0 to most: no sign, no infinity, no other base.
+func figure(s string, most float64) (float64, bool) {
+	if strings.Trim(s, "0123456789.") != "" {
+		return 0, false
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	return v, err == nil && v <= most
+}
+
 // Answer is what a client gets.
 type Answer struct {
 	Status   int
@@ -86,8 +104,11 @@
 	Body     []byte
 }
 
+// TurnsAway tells whether the answer is to what was not taken, and is the client's own fault.
+func (a *Answer) TurnsAway() bool { return a.Status >= 400 && a.Status < 429 }
+
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-	408: "Request Timeout", 413: "Content Too Large", 429: "Too Many Requests", 502: "Bad Gateway",
+	408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests", 502: "Bad Gateway",
 	431: "Request Header Fields Too Large", 503: "Service Unavailable"}
 
 // AppendAnswerHead writes an answer's head, for a connection that goes on or is closed after it.
--- a/internal/routing/forward_test.go
+++ b/internal/routing/forward_test.go
@@ -82,11 +82,13 @@
 		Operations: []decide.OperationTerms{
 			{Objective: decide.Second, Value: 1, Kind: -1},
 			{Objective: decide.Second, Value: 1, Kind: -1, Repeat: decide.NonIdempotent},
+			{Objective: decide.Second, Value: 1, Kind: -1, Repeat: decide.Deduplicated},
 		},
 	}, 1, func() decide.Time { return decide.Second + spanOf(time.Since(began)) }, func(string) {})
 	known := protocol.Entry{ID: "w", Address: addr, State: protocol.Ready}
 	return New(Terms{
-		Operations: []Operation{{"idem", 2 * time.Second}, {"once", 2 * time.Second}},
+		Operations: []Operation{{"idem", 2 * time.Second, false}, {"once", 2 * time.Second, false},
+			{"keyed", 2 * time.Second, true}},
 		DialWithin: time.Second,
 		Peers: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:7001"),
 			netip.MustParseAddrPort("127.0.0.2:7001")},
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -19,6 +19,7 @@
 type Operation struct {
 	Name    string
 	Timeout time.Duration // a client's, where it tells none
+	Keyed   bool          // workers drop repeats by a key, without which they can do nothing with it
 }
 
 // Terms are what a router is told at its start.
@@ -49,6 +50,7 @@
 	heard      []stamp
 	counts     Counts
 	place      place
+	ids        ids
 
 	settled  atomic.Bool // the first call for the list has been answered, or has failed
 	draining atomic.Bool
@@ -146,6 +148,9 @@
 	if !known {
 		return decide.Landing{}, fmt.Errorf("%w: unknown operation %.40q", protocol.ErrMalformed, inv.Operation)
 	}
+	if r.terms.Operations[o].Keyed && inv.Dedup == "" {
+		return decide.Landing{}, fmt.Errorf("%w: no Idempotency-Key", protocol.ErrMalformed)
+	}
 	c, known := r.owners[inv.Owner]
 	if !known && len(r.owners) > 0 {
 		return decide.Landing{}, fmt.Errorf("%w: unknown owner %.40q", protocol.ErrMalformed, inv.Owner)
@@ -169,6 +174,10 @@
 	if err != nil {
 		return r.Broken(err)
 	}
+	if !r.ids.open(inv.ID) { // what another client waits for goes on undisturbed
+		return r.turnedAway(&protocol.Answer{Status: 409})
+	}
+	defer r.ids.close(inv.ID)
 	inv.Body = body
 	r.counts.Taken.Add(1)
 	if r.draining.Load() {
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -21,10 +22,26 @@
 	r := routerTo("127.0.0.1:1")
 	assert.Equal(t, 400, r.Serve(context.Background(), invocation("unheard-of"), nil, time.Now()).Status)
 	assert.Equal(t, 400, r.Serve(context.Background(), &protocol.Head{Method: "POST"}, nil, time.Now()).Status)
+	assert.Equal(t, 400, r.Serve(context.Background(), invocation("keyed"), nil, time.Now()).Status, "no key")
 	r.owners["o"] = 0
 	assert.Equal(t, 400, r.Serve(context.Background(), invocation("idem"), nil, time.Now()).Status, "no owner")
 	assert.Equal(t, int64(0), r.counts.Taken.Load())
-	assert.Equal(t, int64(3), r.counts.Malformed.Load())
+	assert.Equal(t, int64(4), r.counts.Malformed.Load())
+}
+
+// Guards against a client that sends the id of another one's open invocation: workers go by the id alone.
+func TestIdThatIsOpenIsRefusedAndTheFirstGoesOn(t *testing.T) {
+	var r *Router
+	second := 0
+	r = routerTo(standIn(t, func(c net.Conn, _ *http.Request) {
+		second = r.Serve(context.Background(), invocation("idem"), nil, time.Now()).Status
+		io.WriteString(c, chunked(done)+last)
+	}))
+	for range 2 { // an id that is no longer open is taken
+		a := r.Serve(context.Background(), invocation("idem"), nil, time.Now())
+		assert.Equal(t, []int{200, 409}, []int{a.Status, second})
+		r.forwards.Wait()
+	}
 }
 
 func TestPathsAndMethods(t *testing.T) {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -35,8 +35,12 @@
 	Ending       Reason = "ending"        // this process ends
 )
 
-// ringSize holds any head that is taken.
-const ringSize = protocol.MostHead
+// What a connection holds. The ring for reading holds any head that is taken; that for writing is emptied
+// whenever it is full.
+const (
+	ringSize    = protocol.MostHead
+	outRingSize = ringSize / 4
+)
 
 // Side is who is at the other end.
 type Side string
@@ -82,7 +86,7 @@
 }
 
 func newConn(nc net.Conn, side Side, addr string, log zerolog.Logger, onEnd func()) *Conn {
-	return &Conn{nc: nc, in: NewRing(ringSize), out: NewRing(ringSize), side: side, addr: addr,
+	return &Conn{nc: nc, in: NewRing(ringSize), out: NewRing(outRingSize), side: side, addr: addr,
 		opened: time.Now(), log: log, onEnd: onEnd, counter: meter{nc: nc}}
 }
 
@@ -204,7 +208,7 @@
 	if b.Length() > int64(most) {
 		return nil, protocol.ErrTooLarge
 	}
-	body := make([]byte, 0, b.Length())
+	body := make([]byte, 0, min(b.Length(), ringSize)) // announced is not brought
 	fits := true
 	err := c.Pieces(&b, func(data []byte) bool {
 		fits = len(body)+len(data) <= most
@@ -217,6 +221,22 @@
 	return body, err
 }
 
+// Skip reads a body of at most that many bytes over.
+func (c *Conn) Skip(b protocol.Body, most int) error {
+	if b.Length() > int64(most) {
+		return protocol.ErrTooLarge
+	}
+	n := 0
+	err := c.Pieces(&b, func(data []byte) bool {
+		n += len(data)
+		return n <= most
+	})
+	if n > most {
+		return protocol.ErrTooLarge
+	}
+	return err
+}
+
 // Send writes all of a message within a bound.
 func (c *Conn) Send(within time.Duration, parts ...[]byte) error {
 	c.nc.SetWriteDeadline(time.Now().Add(within))
--- /dev/null
+++ b/internal/transport/places.go
@@ -0,0 +1,192 @@
+package transport
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// How long a connection that has to make room still has for a message on its way to it.
+const (
+	crossWithin  = 50 * time.Millisecond
+	silentWithin = 5 * time.Millisecond // where nothing of use has ever come: clients ask as they connect
+)
+
+// places is the room that clients' connections share.
+type places struct {
+	most  int
+	spare int // beyond most, for those that are answered as overfull or on their way out
+	freed chan struct{}
+
+	mu      sync.Mutex
+	held    map[*Conn]*place
+	retired bool // idle connections end
+}
+
+// place is what a client's connection does, and since when.
+type place struct {
+	doing   doing
+	since   time.Time
+	first   bool // its first message is still to be answered
+	proven  bool // it has brought an invocation that was taken
+	over    bool // it came beyond the budget
+	evicted bool // it is to end for another one's sake
+}
+
+type doing uint8
+
+const (
+	standing doing = iota // idle between messages
+	reading
+	answering // a whole message has been taken: it is owed an answer
+)
+
+func newPlaces(most int) *places {
+	return &places{most: most, spare: max(most/16, 1), freed: make(chan struct{}, 1), held: map[*Conn]*place{}}
+}
+
+// wait blocks until one more connection fits, or ctx ends. What fills the spare places is on its way out.
+func (s *places) wait(ctx context.Context) {
+	for {
+		s.mu.Lock()
+		fits := len(s.held) < s.most+s.spare
+		if !fits {
+			s.evict()
+		}
+		s.mu.Unlock()
+		if fits {
+			return
+		}
+		select {
+		case <-s.freed:
+		case <-time.After(crossWithin):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// admit gives a new connection a place, another one's if need be. It tells whether it came beyond the budget.
+func (s *places) admit(c *Conn) (over bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := 0
+	for _, p := range s.held {
+		if !p.evicted && !p.over {
+			kept++
+		}
+	}
+	over = kept >= s.most && !s.evict()
+	s.held[c] = &place{since: time.Now(), first: true, over: over}
+	c.Within(firstWithin)
+	return over
+}
+
+func (s *places) leave(c *Conn) {
+	s.mu.Lock()
+	delete(s.held, c)
+	s.mu.Unlock()
+	select {
+	case s.freed <- struct{}{}:
+	default:
+	}
+}
+
+// rank orders connections by what would be lost with them; false for one that has to stay.
+func (p *place) rank() (rank int, may bool) {
+	if p.doing == standing {
+		rank = -1
+	}
+	if p.proven {
+		rank += 2
+	}
+	return rank, p.doing != answering && !p.evicted
+}
+
+// evict ends the connection of least rank that has longest done what it does, under the lock. It guards
+// against clients that open many connections and bring nothing on them, or nothing of use, or bring it byte
+// by byte: those go first, so that they keep no other out.
+func (s *places) evict() bool {
+	var last *Conn
+	var least int
+	for c, p := range s.held {
+		rank, may := p.rank()
+		if may && (last == nil || rank < least || rank == least && p.since.Before(s.held[last].since)) {
+			last, least = c, rank
+		}
+	}
+	if last == nil {
+		return false
+	}
+	within := silentWithin
+	if s.held[last].proven {
+		within = crossWithin
+	}
+	s.held[last].evicted = true
+	last.Within(within)
+	return true
+}
+
+// stand marks a connection idle, and bounds that. It is one step with the look at whether all are to end: else
+// one that turns idle just then would be waited for as long as usual.
+func (s *places) stand(c *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.held[c]
+	p.doing, p.since, p.first, p.evicted = standing, time.Now(), false, false
+	switch {
+	case s.retired:
+		c.Within(crossWithin)
+	case p.proven:
+		c.Within(idleWithin)
+	default:
+		c.Within(firstWithin)
+	}
+}
+
+// turn marks what a connection does next. One that is to end is not read on; a first message has to be whole
+// in time from connecting, however late it begins.
+func (s *places) turn(c *Conn, to doing) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.held[c]
+	p.doing, p.since = to, time.Now()
+	switch {
+	case to != reading || p.evicted:
+	case s.retired:
+		c.Within(lastWithin)
+	case p.first:
+	case p.proven:
+		c.Within(askWithin)
+	default:
+		c.Within(firstWithin)
+	}
+}
+
+// prove marks that a connection has brought an invocation that was taken.
+func (s *places) prove(c *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held[c].proven = true
+}
+
+func (s *places) isEvicted(c *Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held[c].evicted
+}
+
+// retire ends the idle connections, and those about a message soon.
+func (s *places) retire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retired = true
+	for c, p := range s.held {
+		switch p.doing {
+		case standing:
+			c.Within(crossWithin)
+		case reading:
+			c.Within(lastWithin)
+		}
+	}
+}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -16,12 +16,12 @@
 
 // Bounds on waiting for clients.
 const (
-	askWithin    = 10 * time.Second // from a message's first byte to its last
+	firstWithin  = 2 * time.Second  // from connecting to a whole first message, and for all of no use so far
+	askWithin    = 10 * time.Second // from a later message's first byte to its last
 	answerWithin = 5 * time.Second  // for the client to take the answer
 	idleWithin   = 75 * time.Second // between messages
 	lingerWithin = 500 * time.Millisecond
-	lastWithin   = time.Second           // from the end of accepting to a message's last byte
-	crossWithin  = 50 * time.Millisecond // for a message on its way to an idle connection that is to end
+	lastWithin   = time.Second // from the end of accepting to a message's last byte
 )
 
 // Handler answers what clients ask.
@@ -41,41 +41,24 @@
 	ln      net.Listener
 	handler Handler
 	log     zerolog.Logger
-	most    int
-	spare   int // connections beyond most that may be answered as overfull, and that may be on their way out
-
-	mu       sync.Mutex
-	conns    map[*Conn]*place
-	stopping bool // each answer is the last one of its connection
-	retired  bool // and idle connections end
-}
-
-// place is what a client's connection does, and since when.
-type place struct {
-	doing   doing
-	since   time.Time
-	evicted bool // it is to end for another one's sake
+	places  *places
+	bodies  allowance
+	closing atomic.Bool // each answer is the last one of its connection
 }
 
-type doing uint8
-
-const (
-	standing doing = iota // idle between messages
-	reading
-	answering // a whole message has been taken: it is owed an answer
-)
-
 // errClientLeft is the cause of an invocation's context that its client has ended.
 var errClientLeft = errors.New("client left")
 
-// Listen opens the listener. Beyond most connections there may be an eighth more for a moment.
-func Listen(addr string, most int, handler Handler, log zerolog.Logger) (*Server, error) {
+// Listen opens the listener. Beyond most connections there may be a sixteenth more for a moment. The bodies
+// that are held at once have so many bytes at the most.
+func Listen(addr string, most int, bodies int64, handler Handler, log zerolog.Logger) (*Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("listening for clients: %w", err)
 	}
-	return &Server{ln: ln, handler: handler, log: log, most: most, spare: max(most/16, 1),
-		conns: map[*Conn]*place{}}, nil
+	s := &Server{ln: ln, handler: handler, log: log, places: newPlaces(most)}
+	s.bodies.left.Store(max(bodies, protocol.MostBody))
+	return s, nil
 }
 
 // Run accepts until ctx ends, and then waits for the connections it has; those that stand idle end at once,
@@ -84,8 +67,8 @@
 	var conns errgroup.Group
 	stop := context.AfterFunc(ctx, func() { s.ln.Close() })
 	defer stop()
-	spare := make(chan struct{}, s.spare)
 	for {
+		s.places.wait(ctx)
 		nc, err := s.ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			break
@@ -95,25 +78,11 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		if s.count() >= s.most {
-			s.makeRoom()
-		}
-		over := s.count() >= s.most
-		if over {
-			spare <- struct{}{}
-		}
 		c := newConn(nc, Client, nc.RemoteAddr().String(), s.log, nil)
-		if s.stand(c, idleWithin); over {
-			s.stand(c, answerWithin) // its place is one of few
-		}
+		over := s.places.admit(c)
 		conns.Go(func() error {
 			s.serve(c, over)
-			s.mu.Lock()
-			delete(s.conns, c)
-			s.mu.Unlock()
-			if over {
-				<-spare
-			}
+			s.places.leave(c)
 			return nil
 		})
 	}
@@ -123,100 +92,12 @@
 
 // Retire makes each connection end after the answer it is owed, and the idle ones now.
 func (s *Server) Retire() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stopping, s.retired = true, true
-	for c, p := range s.conns {
-		switch p.doing {
-		case standing:
-			c.Within(crossWithin)
-		case reading:
-			c.Within(lastWithin)
-		}
-	}
+	s.closing.Store(true)
+	s.places.retire()
 }
 
 // Closing makes each answer from now on the last one of its connection.
-func (s *Server) Closing() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stopping = true
-}
-
-// count is the number of connections that are to stay.
-func (s *Server) count() (n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range s.conns {
-		if !p.evicted {
-			n++
-		}
-	}
-	return n
-}
-
-// makeRoom ends the connection that has stood idle longest, or else the one longest about a message. It
-// guards against clients that open many connections and bring nothing on them, or bring it byte by byte.
-func (s *Server) makeRoom() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var oldest *Conn
-	evicted := 0
-	for c, p := range s.conns {
-		if p.evicted {
-			evicted++
-		}
-		if p.doing == answering || p.evicted {
-			continue
-		}
-		if o := s.conns[oldest]; o == nil || p.doing < o.doing || p.doing == o.doing && p.since.Before(o.since) {
-			oldest = c
-		}
-	}
-	if oldest != nil && evicted < s.spare {
-		s.conns[oldest].evicted = true
-		oldest.Within(crossWithin)
-	}
-}
-
-// stand marks a connection idle, within the time that it may be now. It is one step with the look at whether
-// all are to end: else one that turns idle just then would be waited for as long as usual.
-func (s *Server) stand(c *Conn, within time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.conns[c] = &place{since: time.Now()}
-	if s.retired {
-		within = crossWithin
-	}
-	c.Within(within)
-}
-
-// turn marks what a connection does next. One that is to end is not read on.
-func (s *Server) turn(c *Conn, to doing) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	p := s.conns[c]
-	p.doing, p.since = to, time.Now()
-	switch {
-	case to != reading || p.evicted:
-	case s.retired:
-		c.Within(lastWithin)
-	default:
-		c.Within(askWithin)
-	}
-}
-
-func (s *Server) isEvicted(c *Conn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.conns[c].evicted
-}
-
-func (s *Server) isStopping() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.stopping
-}
+func (s *Server) Closing() { s.closing.Store(true) }
 
 // serve answers one connection's messages in turn.
 func (s *Server) serve(c *Conn, over bool) {
@@ -231,7 +112,7 @@
 
 // exchange reads one message and answers it. It returns the reason if the connection ends with it.
 func (s *Server) exchange(c *Conn, over bool) (Reason, error) {
-	h, err := c.Ask(func() { s.turn(c, reading) })
+	h, err := c.Ask(func() { s.places.turn(c, reading) })
 	if err != nil {
 		return s.unread(c, err)
 	}
@@ -247,12 +128,17 @@
 			return Blame(err), err
 		}
 	}
+	room := body.Room()
+	if !s.bodies.take(room) {
+		return s.turnAway(c, &h, body, s.handler.Overfull(), true)
+	}
+	defer s.bodies.give(room)
 	content, err := c.Body(body, protocol.MostBody)
 	if err != nil {
 		return s.unread(c, err)
 	}
 	came := time.Now()
-	s.turn(c, answering)
+	s.places.turn(c, answering)
 	if over {
 		return s.answer(c, s.handler.Overfull(), true)
 	}
@@ -264,6 +150,9 @@
 	if a == nil {
 		return ClientLeft, context.Cause(ctx)
 	}
+	if !a.TurnsAway() {
+		s.places.prove(c)
+	}
 	return s.answer(c, a, h.Closes())
 }
 
@@ -273,7 +162,7 @@
 	over bool) (Reason, error) {
 	ends := h.Expects()
 	if !ends {
-		_, err := c.Body(body, protocol.MostBody)
+		err := c.Skip(body, protocol.MostBody)
 		if err != nil && Blame(err) != Malformed {
 			return Blame(err), err
 		}
@@ -281,7 +170,7 @@
 	}
 	why, err := s.answer(c, a, ends || h.Closes() || over)
 	if ends && err == nil {
-		c.linger()
+		c.linger(lingerWithin)
 	}
 	return why, err
 }
@@ -289,21 +178,22 @@
 // unread ends a connection with what is on it, with an answer if the client may still read one.
 func (s *Server) unread(c *Conn, err error) (Reason, error) {
 	why := Blame(err)
+	evicted := why == TooSlow && s.places.isEvicted(c)
 	switch {
-	case why == TooSlow && s.isEvicted(c) && c.in.Len() > 0:
+	case evicted && c.in.Len() > 0:
 		if _, sent := s.answer(c, s.handler.Overfull(), true); sent == nil {
-			c.linger()
+			c.linger(crossWithin) // its place is wanted
 		}
 		return OverBudget, nil
-	case why == TooSlow && s.isEvicted(c):
+	case evicted:
 		return OverBudget, nil
-	case why == TooSlow && c.in.Len() == 0 && s.isStopping():
+	case why == TooSlow && c.in.Len() == 0 && s.closing.Load():
 		return Ending, nil
 	case why == TooSlow && c.in.Len() == 0:
 		return IdleRetired, nil
 	case why == Malformed, why == TooSlow:
 		if _, sent := s.answer(c, s.handler.Broken(err), true); sent == nil {
-			c.linger()
+			c.linger(lingerWithin)
 		}
 	case why == PeerClosed:
 		return why, nil
@@ -312,9 +202,9 @@
 }
 
 // linger lets the client read the answer before a reset for what it still sends throws that away.
-func (c *Conn) linger() {
+func (c *Conn) linger(within time.Duration) {
 	if half, ok := c.nc.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
-		c.Within(lingerWithin)
+		c.Within(within)
 		for n := 0; n < protocol.MostBody/ringSize*2; n++ {
 			c.in.Discard(c.in.Len())
 			if c.fill(false) != nil {
@@ -325,13 +215,13 @@
 }
 
 func (s *Server) answer(c *Conn, a *protocol.Answer, closes bool) (Reason, error) {
-	closes = closes || s.isStopping()
+	closes = closes || s.closing.Load()
 	if err := c.Send(answerWithin, protocol.AppendAnswerHead(nil, a, closes), a.Body); err != nil {
 		return Blame(err), err
 	}
 	if closes {
 		return Asked, nil
 	}
-	s.stand(c, idleWithin)
+	s.places.stand(c)
 	return "", nil
 }
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -41,7 +41,7 @@
 // serving runs a server until the test ends.
 func serving(t *testing.T, most int) (*Server, *echo, func()) {
 	e := &echo{left: make(chan error, 1)}
-	s, err := Listen("127.0.0.1:0", most, e, zerolog.Nop())
+	s, err := Listen("127.0.0.1:0", most, 1<<20, e, zerolog.Nop())
 	assert.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -159,9 +159,9 @@
 	busy, _ := connect(t, s)
 	io.WriteString(busy, "POST /wait HTTP/1.1\r\n\r\n")
 	holds := func() bool {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for _, p := range s.conns {
+		s.places.mu.Lock()
+		defer s.places.mu.Unlock()
+		for _, p := range s.places.held {
 			return p.doing == answering
 		}
 		return false
@@ -190,9 +190,9 @@
 	slow, r := connect(t, s)
 	io.WriteString(slow, "POST /a")
 	assert.Eventually(t, func() bool {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for _, p := range s.conns {
+		s.places.mu.Lock()
+		defer s.places.mu.Unlock()
+		for _, p := range s.places.held {
 			return p.doing == reading
 		}
 		return false
@@ -217,3 +217,65 @@
 	io.WriteString(slow, "POST /a")
 	end()
 }
+
+// Guards against clients that connect by hundreds and say nothing, or half of something: they are told, or
+// their connections end, soon after they connected.
+func TestFirstMessageIsBoundFromConnecting(t *testing.T) {
+	s, _, _ := serving(t, 4)
+	began := time.Now()
+	_, silent := connect(t, s)
+	half, r := connect(t, s)
+	for range 3 {
+		io.WriteString(half, "POST /a")
+		time.Sleep(firstWithin / 4) // each byte does not begin it anew
+	}
+	_, err := silent.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	status, _, closes := ask(t, half, r, "")
+	assert.Equal(t, []any{408, true}, []any{status, closes})
+	assert.InDelta(t, firstWithin.Seconds(), time.Since(began).Seconds(), 0.5)
+}
+
+// Guards against a flood that keeps usual clients out: those of use stay, and new ones get in.
+func TestSilentConnectionsKeepNoOtherOut(t *testing.T) {
+	s, _, _ := serving(t, 8)
+	usual, r := connect(t, s)
+	ask(t, usual, r, post)
+	for range 60 {
+		connect(t, s)
+	}
+	began := time.Now()
+	c, r2 := connect(t, s)
+	status, _, _ := ask(t, c, r2, post)
+	assert.Equal(t, 200, status)
+	assert.Less(t, time.Since(began), firstWithin/2)
+	status, _, _ = ask(t, usual, r, post)
+	assert.Equal(t, 200, status)
+}
+
+// Guards against a client of no use so far that holds its place as long as one whose invocations are taken.
+func TestConnectionThatBroughtNothingOfUseIsNotKept(t *testing.T) {
+	s, _, _ := serving(t, 8)
+	c, r := connect(t, s)
+	status, _, closes := ask(t, c, r, "POST /none HTTP/1.1\r\n\r\n")
+	assert.Equal(t, []any{404, false}, []any{status, closes})
+	began := time.Now()
+	_, err := r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	assert.InDelta(t, firstWithin.Seconds(), time.Since(began).Seconds(), 0.5)
+}
+
+// Guards against bodies that are announced on many connections and together exceed the memory limit.
+func TestBodiesHeldAtOnceAreBounded(t *testing.T) {
+	s, _, _ := serving(t, 8)
+	s.bodies.left.Store(protocol.MostBody)
+	large, r := connect(t, s)
+	io.WriteString(large, "POST /api HTTP/1.1\r\nContent-Length: 65536\r\n\r\n")
+	assert.Eventually(t, func() bool { return s.bodies.left.Load() == 0 }, 5*time.Second, time.Millisecond)
+	c, r2 := connect(t, s)
+	status, _, closes := ask(t, c, r2, post)
+	assert.Equal(t, []any{503, true}, []any{status, closes})
+	status, body, _ := ask(t, large, r, strings.Repeat("a", protocol.MostBody))
+	assert.Equal(t, []int{200, protocol.MostBody}, []int{status, len(body)})
+	assert.Equal(t, int64(protocol.MostBody), s.bodies.left.Load())
+}
