Serve within a drain what can be finished; be ready with the list at hand

Checked with a trace of what is taken and answered: the second dispatcher sent six invocations away in the first half second of its drain, with hints of 0.2 to 2 s and 3.4 s left (router.go, Serve); the first one was up again 1.4 s later but said 503 to health for 0.4 s more, as the first call for the list was still out (settled). In between no dispatcher is in the front's list: those stay lost. Now what comes is served if twice its hint fits, and a known list is enough to be ready.

--- a/decide/facade.go
+++ b/decide/facade.go
@@ -253,6 +253,21 @@
 	})
 }
 
+// drainTrust is the part of the time that is left of a dispatcher that ends which a hint may fill: hints are
+// rough, and what is cut off may have run.
+const drainTrust = 0.5
+
+// Late tells whether an invocation that lands now would, by its hint, not be done before this process ends.
+func (f *Facade) Late(l Landing) (late bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	size := Work(float64(l.Hint) * max(l.Slots, 1))
+	if size == 0 {
+		size = f.d.median
+	}
+	return float64(size) > drainTrust*float64(f.endBy-f.clock())
+}
+
 // PickWatch blocks until the list should be asked for.
 func (f *Facade) PickWatch(ctx context.Context) error {
 	select {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -20,9 +20,9 @@
 
 // Bounds on the end.
 const (
-	acceptFor    = 500 * time.Millisecond
+	acceptFor    = 500 * time.Millisecond // clients go on coming for a while
 	longestDrain = 3 * time.Second        // or the longest client timeout: no sooner are we killed,
-	drainMore    = 350 * time.Millisecond // and not within twice this after it
+	drainMore    = 450 * time.Millisecond // and not within 700 ms after it
 )
 
 // Main runs a dispatcher and returns the code that the process exits with.
@@ -120,7 +120,7 @@
 			log.Info().Str("signal", s.String()).Msg("draining")
 			router.Drain(min(p.Longest, longestDrain)+drainMore, acceptFor)
 			server.Closing()
-			select { // clients go on coming for a while
+			select {
 			case <-time.After(acceptFor):
 			case <-failed.Done():
 			}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -52,7 +52,7 @@
 	place      place
 	ids        ids
 
-	settled  atomic.Bool // the first call for the list has been answered, or has failed
+	settled  atomic.Bool // a list is known, or the first call for it has been answered, or has failed
 	draining atomic.Bool
 	away     atomic.Int64 // how long clients should stay away from one that drains
 }
@@ -73,6 +73,7 @@
 	if t.Known != nil {
 		entries, _ := r.fleet.take(t.Known)
 		f.ReportList(entries, true, true)
+		r.settled.Store(r.fleet.serves()) // an old list serves until the answer to the first call
 	}
 	return r
 }
@@ -100,8 +101,8 @@
 	return err
 }
 
-// Drain gives what is open until within to be answered. What comes from now on is sent away for as long as
-// clients still come here: it might not be done in time, and begun it could not always be sent away.
+// Drain gives what is open until within to be answered, and what still comes: what would not be done by then
+// is sent away for as long as clients still come here, since begun it could not always be.
 func (r *Router) Drain(within, away time.Duration) {
 	r.away.Store(int64(min(away, r.terms.ComeBackMost)))
 	r.draining.Store(true)
@@ -180,7 +181,7 @@
 	defer r.ids.close(inv.ID)
 	inv.Body = body
 	r.counts.Taken.Add(1)
-	if r.draining.Load() {
+	if r.draining.Load() && r.facade.Late(l) {
 		r.counts.Throttled.Add(1)
 		return &protocol.Answer{Status: 503, ComeBack: time.Duration(r.away.Load())}
 	}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -21,7 +21,7 @@
 	answerWithin = 5 * time.Second  // for the client to take the answer
 	idleWithin   = 75 * time.Second // between messages
 	lingerWithin = 500 * time.Millisecond
-	lastWithin   = time.Second // from the end of accepting to a message's last byte
+	lastWithin   = 500 * time.Millisecond // from the end of accepting to a message's last byte
 )
 
 // Handler answers what clients ask.
