Rest a worker after a second error in a row; try it out by repeatable work alone

Checked by a trace of each forward and its outcome: that worker fails all it gets and so is always idle, while the rule for suspects took no connection and resets alone (decide.go, Ended). Ruled out: bad invocations (the same ones succeeded elsewhere). A single error stays without a rest, as programs err by chance at up to 0.3%.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,7 +1,6 @@
-// The decision module. A caller makes one Dispatcher with New. For each input it sets the clock with Clock,
-// calls the method that names what has happened (Landed, Started, Ended, Left, Woke, Listed,
-// ListFailed, Reported, Heard) and then Settle, which goes through the rules. Answers go out through Link
-// while the calls run. The types and Link are in types.go; what a Dispatcher remembers is in state.go.
+// The decision module. A caller makes a Dispatcher with New. For each input it sets the clock with Clock,
+// calls the method that names what has happened, and Settle to go through the rules. Answers go out through
+// Link meanwhile. The types are in types.go; what a Dispatcher remembers is in state.go.
 package decide
 
 import (
@@ -106,10 +105,11 @@
 	case Full:
 		d.fits(w, d.load(w)+1, false)
 		d.rest(w, Time(d.ops[i.op].mean)) // until a slot comes free, or forwards are used up there
-	case NoConnection, Reset: // a crash or a cut link: nothing more goes there until a trial, later each time
-		d.fails[w]++
-		d.trialAt[w] = d.now + Second<<min(d.fails[w]-1, 3)
-		d.link.Log(fmt.Sprintf("worker %d suspected down, failure %d", w, d.fails[w]))
+	case WorkerError, NoConnection, Reset: // a crash, a cut link, a program that fails all and is idle by it
+		if d.fails[w]++; how != WorkerError || d.fails[w] > 1 { // nothing goes there until a trial, ever later
+			d.trialAt[w] = d.now + Second<<min(d.fails[w]-1, 3)
+			d.link.Log(fmt.Sprintf("worker %d suspected down, failure %d", w, d.fails[w]))
+		}
 	}
 	able := func(w Worker) bool { return d.state[w] == Healthy && d.mayForward(i, w) }
 	switch {
@@ -275,8 +275,7 @@
 	}
 	d.sample = append(d.sample, size)
 	d.sample = d.sample[max(0, len(d.sample)-sampleMost):]
-	d.sampled++
-	if d.sampled%(sampleMost/8) == 0 || d.sampled == sampleLeast {
+	if d.sampled++; d.sampled%(sampleMost/8) == 0 || d.sampled == sampleLeast {
 		d.cut()
 	}
 	return size
@@ -322,12 +321,13 @@
 	for k := range part {
 		w := part[(*turn+k)%len(part)]
 		fit := (!near || d.workerZone[w] == d.zone) && (o.kind < 0 || o.kind == d.kind[w]) &&
+			(o.repeat != NonIdempotent || d.fails[w] == 0 || d.now >= d.trialAt[w]+8*Second) && // no trial by it
 			// A cold worker is slow: nothing goes there that would be late by it.
 			float64(i.size)*(1/d.warmth(w)-1-o.slack) <= float64(o.objective) &&
 			(p != cold || d.warmth(w) < 1) && // what is beyond a share leaves room to others:
 			float64(d.load(w)) < (1+i.counts)/2*d.slots[d.kind[w]]
-		if fit && d.idle(w) && float64(d.own[w]) <= passOver*max(mean, 0.5) && d.withinCold(w, i.size) &&
-			d.mayForward(i, w) {
+		if fit && d.idle(w) && float64(d.own[w]) <= passOver*max(mean, 0.5) &&
+			d.withinCold(w, i.size) && d.mayForward(i, w) {
 			*turn = (*turn + k + 1) % len(part)
 			return w, true
 		}
@@ -401,8 +401,8 @@
 
 func (d *Dispatcher) mayThrottle(i *invocation) bool {
 	o := &d.ops[i.op]
-	again := o.repeat == Idempotent || o.repeat == Deduplicated && o.scope == ScopeAll
-	return again || !slices.ContainsFunc(i.forwards, func(f forward) bool { return f.out || f.ran })
+	return o.repeat == Idempotent || o.repeat == Deduplicated && o.scope == ScopeAll ||
+		!slices.ContainsFunc(i.forwards, func(f forward) bool { return f.out || f.ran })
 }
 
 func (d *Dispatcher) placeHeld() {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -386,3 +386,30 @@
 		assert.Less(t, last, d.askWithin)
 	}
 }
+
+// Guards against a program that fails all it gets: it is always idle, and so would get more than its turn.
+func TestWorkerThatFailsAllIsTriedOutByWorkThatMayRunAgain(t *testing.T) {
+	d, _ := warmDispatcher(1, 1)
+	fail := func(how Outcome) {
+		d.Landed(0, Landing{Grace: 90 * Second, Hint: 100})
+		d.forward(0, 0)
+		d.Ended(0, 0, how, true)
+	}
+	once, again := &invocation{op: 1, counts: 1, timeout: never}, &invocation{counts: 1, timeout: never}
+	takes := func(i *invocation) bool {
+		_, ok := d.choose(i)
+		return ok
+	}
+	fail(WorkerError)
+	assert.True(t, takes(once), "a single error is chance")
+	fail(WorkerError)
+	assert.False(t, takes(again))
+	d.now += 2 * Second
+	assert.True(t, takes(again), "a trial")
+	assert.False(t, takes(once), "not by this")
+	d.now += 8 * Second
+	assert.True(t, takes(once), "nothing else has tried")
+	fail(Succeeded)
+	fail(WorkerError)
+	assert.True(t, takes(again), "a success clears it")
+}
