Tell a kept connection's end from a worker's; no rest for a single reset

Checked with a trace of forwards: each such end counted as a reset, and the worker rested for a second (decide.go, Ended): 40 suspicions in 18 s before the first real crash, and with few workers left invocations were throttled 20 ms after they landed; four non-idempotent ones ended within a millisecond of being sent on a kept connection (pool.go, Get). Now an end with nothing heard on a used connection is an outcome of its own, work that may not run again goes on a new connection while kept ones are in doubt, one failure counts once, and a single reset or error gives no rest.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -91,8 +91,7 @@
 }
 
 func (d *Dispatcher) Ended(inv Inv, n int, how Outcome, closed bool) {
-	i, f := &d.invs[inv], &d.invs[inv].forwards[n]
-	w := f.tgt
+	i, f, w := &d.invs[inv], &d.invs[inv].forwards[n], d.invs[inv].forwards[n].tgt
 	f.out, f.ran, d.room = false, how != Full && how != NoConnection && how != Moot, true
 	i.out, d.own[w] = i.out-1, d.own[w]-1
 	d.note(w)
@@ -106,7 +105,8 @@
 		d.fits(w, d.load(w)+1, false)
 		d.rest(w, Time(d.ops[i.op].mean)) // until a slot comes free, or forwards are used up there
 	case WorkerError, NoConnection, Reset: // a crash, a cut link, a program that fails all and is idle by it
-		if d.fails[w]++; how != WorkerError || d.fails[w] > 1 { // nothing goes there until a trial, ever later
+		if d.fails[w] > 0 && d.now < d.trialAt[w] { // one failure ends all that is out there
+		} else if d.fails[w]++; how == NoConnection || d.fails[w] > 1 { // nothing until a trial, ever later
 			d.trialAt[w] = d.now + Second<<min(d.fails[w]-1, 3)
 			d.link.Log(fmt.Sprintf("worker %d suspected down, failure %d", w, d.fails[w]))
 		}
--- a/decide/facade.go
+++ b/decide/facade.go
@@ -23,6 +23,7 @@
 	Tgt      Worker
 	N        int
 	Ctx      context.Context // of a Send: ends when the forward is called off or the client's time is up
+	Once     bool            // of a Send: it may not run again, so that its connection should be sure
 	ComeBack Time            // of AnswerThrottled: how long the client should stay away, 0 for no advice
 }
 
@@ -366,7 +367,8 @@
 	t.cancels = append(t.cancels, func(cause error) { cancel(cause); stop() })
 	t.reported = append(t.reported, false)
 	t.out++
-	t.push(Choice{Do: Send, Tgt: tgt, N: len(t.cancels) - 1, Ctx: ctx})
+	once := l.f.d.ops[l.f.d.invs[inv].op].repeat == NonIdempotent
+	t.push(Choice{Do: Send, Tgt: tgt, N: len(t.cancels) - 1, Ctx: ctx, Once: once})
 }
 
 func (l link) Cancel(inv Inv, n int) {
--- a/internal/routing/forward.go
+++ b/internal/routing/forward.go
@@ -18,7 +18,7 @@
 // forward sends the invocation to one worker and reports what comes of it, once.
 func (r *Router) forward(t *decide.Ticket, c decide.Choice, inv *protocol.Invocation, until time.Time,
 	result chan<- string) {
-	f := &passage{r: r, ctx: c.Ctx, inv: inv, until: until, started: func() { t.ReportStart(c.N) }}
+	f := &passage{r: r, ctx: c.Ctx, inv: inv, until: until, once: c.Once, started: func() { t.ReportStart(c.N) }}
 	how, text, finish := f.run(c.Tgt)
 	r.counts.outcome(how)
 	if t.Report(c.N, how) {
@@ -35,6 +35,7 @@
 	ctx     context.Context
 	inv     *protocol.Invocation
 	until   time.Time
+	once    bool
 	started func()
 }
 
@@ -58,14 +59,14 @@
 		f.r.pool.Put(conn)
 		return decide.Moot, "", nil
 	}
-	stop := context.AfterFunc(f.ctx, conn.Interrupt)
+	stop, used := context.AfterFunc(f.ctx, conn.Interrupt), conn.Used()
 	message := protocol.AppendForward(nil, f.inv, time.Until(f.until))
 	if err := conn.Send(f.r.terms.DialWithin, message); err != nil { // before its last byte: it never ran
 		stop()
 		return f.unsent(conn, err)
 	}
 	f.r.counts.Sent.Add(1)
-	how, result, body, err := f.read(conn)
+	how, result, body, err := f.read(conn, used)
 	interrupted := !stop()
 	return how, result, func() {
 		if err == nil {
@@ -88,7 +89,7 @@
 func (f *passage) connect(tgt decide.Worker) (*transport.Conn, error) {
 	ctx, cancel := context.WithTimeout(f.ctx, f.r.terms.DialWithin)
 	defer cancel()
-	return f.r.pool.Get(ctx, f.r.fleet.address(tgt))
+	return f.r.pool.Get(ctx, f.r.fleet.address(tgt), f.once)
 }
 
 func (f *passage) unsent(conn *transport.Conn, err error) (decide.Outcome, string, func()) {
@@ -96,6 +97,10 @@
 	if f.ctx.Err() != nil {
 		return decide.Moot, "", nil
 	}
+	if conn.Used() { // its end says nothing of the worker now
+		f.r.pool.Doubt(conn.Addr())
+		return decide.Moot, "", nil
+	}
 	return decide.NoConnection, "", nil
 }
 
@@ -134,13 +139,18 @@
 	return decide.Reset
 }
 
-// read takes the worker's answer up to the line that ends the forward. With an error the connection is of no
+// read takes the worker's answer up to the line that ends the forward. A connection that was used before and
+// ends with no answer at all may have ended before the forward was on it. With an error the connection is of no
 // more use; without one the rest of body is still to come.
-func (f *passage) read(conn *transport.Conn) (how decide.Outcome, result string, body protocol.Body,
+func (f *passage) read(conn *transport.Conn, used bool) (how decide.Outcome, result string, body protocol.Body,
 	err error) {
 	head, err := conn.Answer()
 	if err != nil {
-		return f.lost(err), "", body, err
+		if how = f.lost(err); how == decide.Reset && used && conn.Unanswered() {
+			f.r.pool.Doubt(conn.Addr())
+			how = decide.Stale
+		}
+		return how, "", body, err
 	}
 	if body, err = protocol.AnswerBody(&head); err != nil {
 		return f.lost(err), "", body, err
--- a/internal/routing/forward_test.go
+++ b/internal/routing/forward_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -207,3 +208,22 @@
 	}
 	assert.Equal(t, <-from, <-from)
 }
+
+// Guards against a worker that is taken to be down because it has ended a connection that was kept for it.
+func TestKeptConnectionThatEndsUnderAForwardSaysNothingOfTheWorker(t *testing.T) {
+	var forwards atomic.Int32
+	r := routerTo(standIn(t, func(c net.Conn, _ *http.Request) {
+		if forwards.Add(1) == 2 {
+			c.Close()
+			return
+		}
+		io.WriteString(c, chunked(done)+last)
+	}))
+	serve := func(operation string) int {
+		defer r.forwards.Wait()
+		return r.Serve(context.Background(), invocation(operation), nil, time.Now()).Status
+	}
+	assert.Equal(t, []int{200, 502}, []int{serve("idem"), serve("once")})
+	assert.Equal(t, int64(1), r.counts.outcomes[decide.Stale].Load())
+	assert.Equal(t, 200, serve("idem"), "it gets the next one at once")
+}
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -178,7 +178,7 @@
 func (r *Router) probe(ctx context.Context, w decide.Worker) {
 	ctx, cancel := context.WithTimeout(ctx, r.terms.DialWithin)
 	defer cancel()
-	conn, err := r.pool.Get(ctx, r.fleet.address(w))
+	conn, err := r.pool.Get(ctx, r.fleet.address(w), false)
 	if err != nil {
 		return
 	}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -60,6 +60,7 @@
 	opened   time.Time
 	idleFrom time.Time
 	messages int
+	heard    int64 // what had been read when the last message was sent
 	counter  meter
 	log      zerolog.Logger
 	ended    sync.Once
@@ -255,9 +256,19 @@
 		return fmt.Errorf("sending: %w", err)
 	}
 	c.messages++
+	c.heard = c.counter.read.Load()
 	return nil
 }
 
+// Used tells whether a message has been sent on it.
+func (c *Conn) Used() bool { return c.messages > 0 }
+
+// Unanswered tells whether nothing has come since the last message was sent.
+func (c *Conn) Unanswered() bool { return c.counter.read.Load() == c.heard }
+
+// Addr is the other end's address.
+func (c *Conn) Addr() string { return c.addr }
+
 // Attend watches for the other side's end while this one has the turn, and then calls left. What comes early
 // is kept. stop ends the watch; before it returns nothing else may be read.
 func (c *Conn) Attend(left func(error)) (stop func()) {
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -15,6 +15,9 @@
 // may end it sooner, and what is written to it then has perhaps run.
 const idlePart = 4
 
+// doubtTimes of the idle time is for how long kept connections are doubted after one has ended unasked.
+const doubtTimes = 6
+
 // Pool holds the connections to workers, within a budget.
 type Pool struct {
 	log      zerolog.Logger
@@ -26,6 +29,8 @@
 	shut  bool
 	stale map[*Conn]bool // out, and not to be kept
 	out   map[*Conn]string
+
+	doubted time.Time // until then kept connections may end under a message
 }
 
 // NewPool makes a pool of that many connections, to servers that keep an idle one for idle at the latest.
@@ -37,10 +42,13 @@
 // ErrNoPlace is a budget that is used up.
 var ErrNoPlace = errors.New("no connection left in the budget")
 
-// Get takes an idle connection to an address, or opens one within ctx.
-func (p *Pool) Get(ctx context.Context, addr string) (*Conn, error) {
-	if c := p.takeIdle(addr); c != nil {
-		return c, nil
+// Get takes an idle connection to an address, or opens one within ctx. One that has to be sure is new while kept
+// ones are doubted. It guards against a kept connection that ends under a message, which then may have run.
+func (p *Pool) Get(ctx context.Context, addr string, sure bool) (*Conn, error) {
+	if !sure || !p.doubts() {
+		if c := p.takeIdle(addr); c != nil {
+			return c, nil
+		}
 	}
 	if err := p.place(ctx); err != nil {
 		return nil, err
@@ -121,16 +129,39 @@
 		if c == nil || c.alive() && time.Since(c.idleFrom) < p.idleMost {
 			return c
 		}
-		c.retire()
+		p.retire(c)
 	}
 }
 
-// retire ends an idle connection by what is found on it.
-func (c *Conn) retire() {
+// retire ends an idle connection by what is found on it. One that the other side ended this early shows that
+// it may end more of them.
+func (p *Pool) retire(c *Conn) {
 	if c.alive() {
 		c.End(IdleRetired, nil)
-	} else {
-		c.End(PeerClosed, nil)
+		return
+	}
+	c.End(PeerClosed, nil)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.doubted = time.Now().Add(doubtTimes * idlePart * p.idleMost)
+}
+
+func (p *Pool) doubts() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Before(p.doubted)
+}
+
+// Doubt tells that a kept connection to an address has ended under a message. The other idle ones to it end: a
+// new one shows whether anybody is there.
+func (p *Pool) Doubt(addr string) {
+	p.mu.Lock()
+	p.doubted = time.Now().Add(doubtTimes * idlePart * p.idleMost)
+	conns := p.idle[addr]
+	delete(p.idle, addr)
+	p.mu.Unlock()
+	for _, c := range conns {
+		c.End(StaleRetired, nil)
 	}
 }
 
@@ -195,7 +226,7 @@
 		select {
 		case <-ticks.C:
 			for _, c := range p.overdue(false) {
-				c.retire()
+				p.retire(c)
 			}
 		case <-ctx.Done():
 			for _, c := range p.overdue(true) {
