Tell what a drain sends away to come back after the longest time allowed

Now Retry-After is the most that the settings allow, 2 s here; the answer itself goes out at once as before (router.go, Serve).

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -118,7 +118,7 @@
 			p = reload(p, anew, router, log)
 		case s := <-heard.end:
 			log.Info().Str("signal", s.String()).Msg("draining")
-			router.Drain(min(p.Longest, longestDrain)+drainMore, acceptFor)
+			router.Drain(min(p.Longest, longestDrain) + drainMore)
 			server.Closing()
 			select {
 			case <-time.After(acceptFor):
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -54,7 +54,6 @@
 
 	settled  atomic.Bool // a list is known, or the first call for it has been answered, or has failed
 	draining atomic.Bool
-	away     atomic.Int64 // how long clients should stay away from one that drains
 }
 
 // New makes a router and gives the facade the list that it starts with.
@@ -102,9 +101,9 @@
 }
 
 // Drain gives what is open until within to be answered, and what still comes: what would not be done by then
-// is sent away for as long as clients still come here, since begun it could not always be.
-func (r *Router) Drain(within, away time.Duration) {
-	r.away.Store(int64(min(away, r.terms.ComeBackMost)))
+// is sent away, since begun it could not always be. Its client should come back late: clients still come here
+// for a while, and where dispatchers are restarted in turn, another one may just be coming up.
+func (r *Router) Drain(within time.Duration) {
 	r.draining.Store(true)
 	r.facade.EndBy(decide.Time(within / (time.Second / decide.Second)))
 }
@@ -183,7 +182,7 @@
 	r.counts.Taken.Add(1)
 	if r.draining.Load() && r.facade.Late(l) {
 		r.counts.Throttled.Add(1)
-		return &protocol.Answer{Status: 503, ComeBack: time.Duration(r.away.Load())}
+		return &protocol.Answer{Status: 503, ComeBack: r.terms.ComeBackMost}
 	}
 	until := came.Add(inv.Timeout)
 	t, result := r.facade.Land(l), make(chan string, 1)
