Greet peers at a start, so that both sides' view of load is right at once

In flight agreed but for single messages on their way; of one that had started again the other believed old forwards, and the new one saw up to three at a worker as none for 3.5 s (peers are told on changes and every three mean runs; decide.go, refresh). A datagram that tells of none is now a greeting (peers.go, facade.go, ReportPeerStarted): wrong for half a second at most.

--- a/decide/facade.go
+++ b/decide/facade.go
@@ -339,6 +339,20 @@
 	})
 }
 
+// ReportPeerStarted tells that a peer has just started: it has nothing out, and has to be told what is out here.
+// Else it would know of that only as it changes, and we would keep what it had out before.
+func (f *Facade) ReportPeerStarted(from Peer) {
+	f.with(func(d *Dispatcher) {
+		for _, w := range d.ring {
+			d.Heard(from, Load{Tgt: w})
+			if d.own[w] > 0 {
+				d.toldOf[w] = -1
+				d.note(w)
+			}
+		}
+	})
+}
+
 // ReportLoad takes a worker's load report.
 func (f *Facade) ReportLoad(w Worker, values []float64) {
 	f.with(func(d *Dispatcher) { d.Reported(w, values) })
--- a/decide/facade_test.go
+++ b/decide/facade_test.go
@@ -199,3 +199,25 @@
 	f.ReportListMoved()
 	assert.True(t, asked())
 }
+
+// Guards against a peer that starts again with no view of our load, and against our view of what it had out.
+func TestPeerThatHasStartedIsToldWhatIsOutHere(t *testing.T) {
+	terms := someTerms
+	terms.Peers = true
+	f, now := facadeOf(terms, 2)
+	ticket := f.Land(Landing{Grace: 3 * Second})
+	c := pick(t, ticket)
+	ticket.ReportStart(c.N)
+	*now += Second
+	f.with(func(*Dispatcher) {})
+	_, err := f.PickNews(context.Background())
+	assert.NoError(t, err)
+	f.ReportPeer(1, Load{Tgt: 0, InFlight: 3})
+	f.ReportPeerStarted(1)
+	assert.Equal(t, 0, f.d.others[0])
+	*now += Second
+	f.with(func(*Dispatcher) {})
+	news, err := f.PickNews(context.Background())
+	assert.NoError(t, err)
+	assert.Equal(t, []News{{1, []Load{{c.Tgt, 1}}}}, news)
+}
--- a/internal/protocol/news.go
+++ b/internal/protocol/news.go
@@ -9,7 +9,8 @@
 )
 
 // A datagram holds the low bits of the time of sending in milliseconds, and for each worker that it tells of
-// the tag of its name and how many forwards are out there.
+// the tag of its name and how many forwards are out there. One that tells of none says that its sender has just
+// started.
 const (
 	stampBytes = 2
 	loadBytes  = 3
@@ -45,7 +46,7 @@
 
 // ParseNews reads a datagram.
 func ParseNews(b []byte) (stamp uint16, loads []Load, err error) {
-	if len(b) <= stampBytes || len(b) > terms.MessageMost || (len(b)-stampBytes)%loadBytes != 0 {
+	if len(b) < stampBytes || len(b) > terms.MessageMost || (len(b)-stampBytes)%loadBytes != 0 {
 		return 0, nil, ErrDatagram
 	}
 	stamp = binary.BigEndian.Uint16(b)
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -22,7 +22,12 @@
 
 // tell sends peers what the decisions want told.
 func (r *Router) tell(ctx context.Context) error {
-	var b []byte
+	b := protocol.AppendNews(nil, uint16(time.Now().UnixMilli()), nil)
+	for n, peer := range r.terms.Peers { // a greeting
+		if n != r.terms.Position {
+			r.send(peer, b)
+		}
+	}
 	for {
 		news, err := r.facade.PickNews(ctx)
 		if err != nil {
@@ -36,16 +41,20 @@
 					told[k] = protocol.Load{Tag: r.fleet.tag(l.Tgt), InFlight: l.InFlight}
 				}
 				b = protocol.AppendNews(b[:0], at, told)
-				if err := r.datagrams.Send(r.terms.Peers[n.To], b); err != nil {
-					r.counts.DatagramsFailed.Add(1)
-					continue
-				}
-				r.counts.DatagramsSent.Add(1)
+				r.send(r.terms.Peers[n.To], b)
 			}
 		}
 	}
 }
 
+func (r *Router) send(to netip.AddrPort, b []byte) {
+	if err := r.datagrams.Send(to, b); err != nil {
+		r.counts.DatagramsFailed.Add(1)
+		return
+	}
+	r.counts.DatagramsSent.Add(1)
+}
+
 // hear takes a datagram. What is malformed, comes from strangers or was overtaken is dropped and counted.
 func (r *Router) hear(from netip.AddrPort, b []byte) {
 	n := slices.Index(r.terms.Peers, from)
@@ -58,12 +67,15 @@
 		r.counts.DatagramsBroken.Add(1)
 		return
 	}
-	if back := r.heard[n].at - at; r.heard[n].any && back > 0 && back < overtaken {
+	if back := r.heard[n].at - at; r.heard[n].any && len(loads) > 0 && back > 0 && back < overtaken {
 		r.counts.Overtaken.Add(1)
 		return
 	}
 	r.heard[n] = stamp{at, true}
 	r.counts.DatagramsHeard.Add(1)
+	if len(loads) == 0 {
+		r.facade.ReportPeerStarted(decide.Peer(n))
+	}
 	for _, l := range loads {
 		if w, known := r.fleet.byTag(l.Tag); known {
 			r.facade.ReportPeer(decide.Peer(n), decide.Load{Tgt: w, InFlight: l.InFlight})
