--- a/decide/decide.go
+++ b/decide/decide.go
@@ -457,8 +457,13 @@
 		case d.now >= i.timeout || i.out == 0 && d.now > i.latest, // also where no outcome comes, and where
 			f != nil && d.now > hopeless && d.cancels && d.mayThrottle(i): // it clogs a worker's queue
 			d.giveUp(inv)
-		case f != nil && d.now-f.sent >= d.patience && len(d.held) == 0 && d.now <= i.latest:
+		case len(d.held) > 0:
+		case f != nil && d.now-f.sent >= d.patience && d.now <= i.latest:
 			d.rescue(inv, f)
+		case f == nil && i.out == 1 && d.overdue(i, i.forwards[len(i.forwards)-1]):
+			if w, ok := d.choose(i); ok && d.told(w) && float64(d.load(w)) < d.slots[d.kind[w]]/2 {
+				d.forward(inv, w)
+			}
 		}
 		if !i.over {
 			d.sweepAt = min(d.sweepAt, i.timeout)
@@ -466,6 +471,13 @@
 	}
 }
 
+// overdue tells of work that has run for half of its time: its worker is slow, or will say nothing more. A
+// second copy, where there is room to spare, brings an answer. Any sooner it would copy sound work: hints are
+// rough, and what runs for four times its hint is mostly just heavy.
+func (d *Dispatcher) overdue(i *invocation, f forward) bool {
+	return f.out && f.started > 0 && d.now-f.started > i.timeout-d.now
+}
+
 // unstarted finds the only forward out, if its worker would tell of a start and has not.
 func (d *Dispatcher) unstarted(i *invocation) *forward {
 	if n := len(i.forwards) - 1; d.startNotes && i.out == 1 && i.forwards[n].out && i.forwards[n].started == 0 {
@@ -564,14 +576,6 @@
 	return within + (1-within)*d.surplusShare
 }
 
-func (d *Dispatcher) addWorker() {
-	d.hash, d.workerZone, d.kind = append(d.hash, 0), append(d.workerZone, 0), append(d.kind, 0)
-	d.cell, d.state, d.born = append(d.cell, 0), append(d.state, Gone), append(d.born, 0)
-	d.own, d.waiting, d.others = append(d.own, 0), append(d.waiting, 0), append(d.others, 0)
-	d.fails, d.spent, d.trialAt = append(d.fails, 0), append(d.spent, nil), append(d.trialAt, 0)
-	d.heard, d.keep, d.toldOf = append(d.heard, nil), append(d.keep, [2]int{}), append(d.toldOf, 0)
-}
-
 func (d *Dispatcher) note(w Worker) {
 	if d.peers { // they are told once a full worker would have answered: then there is nothing to tell
 		d.changed, d.tellAt = append(d.changed, w), min(d.tellAt, d.now+d.margin)
@@ -589,10 +593,3 @@
 	}
 	d.changed, d.tellAt = d.changed[:0], never
 }
-
-func (d *Dispatcher) chance() uint64 {
-	d.chances++
-	h := fnv.New64a()
-	fmt.Fprint(h, d.seed, "/", d.chances)
-	return h.Sum64()
-}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -427,3 +427,23 @@
 	d.Ended(2, 0, NoConnection, true)
 	assert.Equal(t, []any{1, d.now + Second}, []any{d.fails[0], d.trialAt[0]})
 }
+
+// Guards against a worker that tells of a start and then nothing more, for as long as the client waits.
+func TestWorkThatRunsOnAndOnIsCopiedWhereThereIsRoomToSpare(t *testing.T) {
+	for _, c := range []struct {
+		op     Operation
+		ran    Time
+		busy   int
+		copied int
+	}{{0, 50 * Second, 0, 1}, {0, 40 * Second, 0, 0}, {0, 50 * Second, 4, 0}, {1, 50 * Second, 0, 0}} {
+		d, _ := warmDispatcher(2, 1)
+		d.peers, d.parts[both] = true, d.ring
+		d.Landed(0, Landing{Operation: c.op, Grace: 90 * Second, Hint: 1000})
+		d.Settle()
+		d.Started(0, 0)
+		d.others[1-d.invs[0].forwards[0].tgt] = c.busy
+		d.now += c.ran
+		d.sweep()
+		assert.Len(t, d.invs[0].forwards, 1+c.copied, c)
+	}
+}
--- a/decide/facade.go
+++ b/decide/facade.go
@@ -339,8 +339,8 @@
 	})
 }
 
-// ReportPeerStarted tells that a peer has just started: it has nothing out, and has to be told what is out here.
-// Else it would know of that only as it changes, and we would keep what it had out before.
+// ReportPeerStarted tells that a peer has just started: it has nothing out, and is to be told what is out
+// here. Else it would know of that only as it changes, and we would keep what it had out before.
 func (f *Facade) ReportPeerStarted(from Peer) {
 	f.with(func(d *Dispatcher) {
 		for _, w := range d.ring {
--- a/decide/facade_test.go
+++ b/decide/facade_test.go
@@ -205,7 +205,7 @@
 	terms := someTerms
 	terms.Peers = true
 	f, now := facadeOf(terms, 2)
-	ticket := f.Land(Landing{Grace: 3 * Second})
+	ticket := f.Land(Landing{Grace: 90 * Second, Hint: Work(9 * Second)})
 	c := pick(t, ticket)
 	ticket.ReportStart(c.N)
 	*now += Second
--- a/decide/state.go
+++ b/decide/state.go
@@ -1,5 +1,10 @@
 package decide
 
+import (
+	"fmt"
+	"hash/fnv"
+)
+
 type operation struct {
 	objective, window, longest, comeBack     Time    // longest: the longest grace seen, a first try's
 	value, mean, density, asked, lost, slack float64 // mean: of the sizes landed
@@ -113,3 +118,20 @@
 	asks, landings, probeAt  int // probeAt: the count of landings
 	changed                  []Worker
 }
+
+// addWorker makes room for the figures about one more.
+func (d *Dispatcher) addWorker() {
+	d.hash, d.workerZone, d.kind = append(d.hash, 0), append(d.workerZone, 0), append(d.kind, 0)
+	d.cell, d.state, d.born = append(d.cell, 0), append(d.state, Gone), append(d.born, 0)
+	d.own, d.waiting, d.others = append(d.own, 0), append(d.waiting, 0), append(d.others, 0)
+	d.fails, d.spent, d.trialAt = append(d.fails, 0), append(d.spent, nil), append(d.trialAt, 0)
+	d.heard, d.keep, d.toldOf = append(d.heard, nil), append(d.keep, [2]int{}), append(d.toldOf, 0)
+}
+
+// chance is the next figure drawn from the seed.
+func (d *Dispatcher) chance() uint64 {
+	d.chances++
+	h := fnv.New64a()
+	fmt.Fprint(h, d.seed, "/", d.chances)
+	return h.Sum64()
+}
--- a/decide/types.go
+++ b/decide/types.go
@@ -64,7 +64,7 @@
 	Reset
 	Cancelled
 	Moot
-	Stale // a connection kept from before ended under it with nothing heard: it may have run, the worker may be well
+	Stale // a kept connection ended under it with nothing heard: it may have run, the worker may be well
 )
 
 // OperationTerms are the terms of one operation.
