--- a/internal/program/placement.go
+++ b/internal/program/placement.go
@@ -62,8 +62,8 @@
 	return p, nil
 }
 
-// ReadAnew takes the configuration of a dispatcher that runs already: now the file says where the list service
-// is, as the environment still has what held at the start.
+// ReadAnew takes the configuration of a dispatcher that runs already: now the file says where the list
+// service is, as the environment still has what held at the start.
 func ReadAnew(getenv func(string) string) (*Placement, error) {
 	return Read(func(variable string) string {
 		if variable == "LB_DISCOVERY" {
--- a/internal/protocol/http_test.go
+++ b/internal/protocol/http_test.go
@@ -30,7 +30,8 @@
 	for _, text := range []string{
 		"POST /api\r\n\r\n", "POST api HTTP/1.1\r\n\r\n", "P(ST / HTTP/1.1\r\n\r\n", "GET / HTTP/2.0\r\n\r\n",
 		"GET / HTTP/1.1\nA: b\n\n", "GET / HTTP/1.1\r\nA: b\nC: d\r\n\r\n", "GET /\x01 HTTP/1.1\r\n\r\n",
-		"GET /\xc3\xa9 HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nA: b\x07\r\n\r\n", "GET / HTTP/1.1\r\nA: b\rC: d\r\n\r\n",
+		"GET /\xc3\xa9 HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nA: b\x07\r\n\r\n",
+		"GET / HTTP/1.1\r\nA: b\rC: d\r\n\r\n",
 		"GET / HTTP/1.1\r\nno colon\r\n\r\n", "GET / HTTP/1.1\r\nA b: c\r\n\r\n", "GET / HTTP/1.1\r\n : c\r\n\r\n",
 	} {
 		_, _, err := ParseAsk([]byte(text))
--- a/internal/protocol/invocation.go
+++ b/internal/protocol/invocation.go
@@ -108,7 +108,8 @@
 func (a *Answer) TurnsAway() bool { return a.Status >= 400 && a.Status < 429 }
 
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-	408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests", 502: "Bad Gateway",
+	408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 429: "Too Many Requests",
+	502: "Bad Gateway",
 	431: "Request Header Fields Too Large", 503: "Service Unavailable"}
 
 // AppendAnswerHead writes an answer's head, for a connection that goes on or is closed after it.
--- a/internal/protocol/news.go
+++ b/internal/protocol/news.go
@@ -9,8 +9,8 @@
 )
 
 // A datagram holds the low bits of the time of sending in milliseconds, and for each worker that it tells of
-// the tag of its name and how many forwards are out there. One that tells of none says that its sender has just
-// started.
+// the tag of its name and how many forwards are out there. One that tells of none says that its sender has
+// just started.
 const (
 	stampBytes = 2
 	loadBytes  = 3
--- a/internal/routing/forward.go
+++ b/internal/routing/forward.go
@@ -140,10 +140,10 @@
 }
 
 // read takes the worker's answer up to the line that ends the forward. A connection that was used before and
-// ends with no answer at all may have ended before the forward was on it. With an error the connection is of no
-// more use; without one the rest of body is still to come.
-func (f *passage) read(conn *transport.Conn, used bool) (how decide.Outcome, result string, body protocol.Body,
-	err error) {
+// ends with no answer at all may have ended before the forward was on it. With an error the connection is of
+// no more use; without one the rest of body is still to come.
+func (f *passage) read(conn *transport.Conn, used bool) (how decide.Outcome, result string,
+	body protocol.Body, err error) {
 	head, err := conn.Answer()
 	if err != nil {
 		if how = f.lost(err); how == decide.Reset && used && conn.Unanswered() {
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -209,7 +209,7 @@
 	r.facade.ReportPeer(1, decide.Load{Tgt: 0, InFlight: 8})
 	r.hear(r.terms.Peers[1], b[:n])
 	a := r.Serve(context.Background(), invocation("idem"), nil, time.Now())
-	assert.NotZero(t, r.counts.outcomes[decide.NoConnection].Load(), "the worker is no longer taken to be full", a)
+	assert.NotZero(t, r.counts.outcomes[decide.NoConnection].Load(), "the worker is not taken to be full", a)
 }
 
 // watched makes one call to a list service that answers with text, and returns how it ended.
--- a/internal/transport/places.go
+++ b/internal/transport/places.go
@@ -127,8 +127,8 @@
 	return true
 }
 
-// stand marks a connection idle, and bounds that. It is one step with the look at whether all are to end: else
-// one that turns idle just then would be waited for as long as usual.
+// stand marks a connection idle, and bounds that. It is one step with the look at whether all are to end:
+// else one that turns idle just then would be waited for as long as usual.
 func (s *places) stand(c *Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -42,8 +42,9 @@
 // ErrNoPlace is a budget that is used up.
 var ErrNoPlace = errors.New("no connection left in the budget")
 
-// Get takes an idle connection to an address, or opens one within ctx. One that has to be sure is new while kept
-// ones are doubted. It guards against a kept connection that ends under a message, which then may have run.
+// Get takes an idle connection to an address, or opens one within ctx. One that has to be sure is new while
+// kept ones are doubted. It guards against a kept connection that ends under a message, which may then have
+// run.
 func (p *Pool) Get(ctx context.Context, addr string, sure bool) (*Conn, error) {
 	if !sure || !p.doubts() {
 		if c := p.takeIdle(addr); c != nil {
@@ -152,8 +153,8 @@
 	return time.Now().Before(p.doubted)
 }
 
-// Doubt tells that a kept connection to an address has ended under a message. The other idle ones to it end: a
-// new one shows whether anybody is there.
+// Doubt tells that a kept connection to an address has ended under a message. The other idle ones to it end:
+// a new one shows whether anybody is there.
 func (p *Pool) Doubt(addr string) {
 	p.mu.Lock()
 	p.doubted = time.Now().Add(doubtTimes * idlePart * p.idleMost)
