--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -132,12 +132,14 @@
 	if !s.bodies.take(room) {
 		return s.turnAway(c, &h, body, s.handler.Overfull(), true)
 	}
-	defer s.bodies.give(room)
+	defer func() { s.bodies.give(room) }()
 	content, err := c.Body(body, protocol.MostBody)
 	if err != nil {
 		return s.unread(c, err)
 	}
 	came := time.Now()
+	s.bodies.give(room - int64(len(content))) // a chunked body could have been longer
+	room = int64(len(content))
 	s.places.turn(c, answering)
 	if over {
 		return s.answer(c, s.handler.Overfull(), true)
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -279,3 +279,17 @@
 	assert.Equal(t, []int{200, protocol.MostBody}, []int{status, len(body)})
 	assert.Equal(t, int64(protocol.MostBody), s.bodies.left.Load())
 }
+
+// Guards against chunked bodies that keep others out, as they may be long, for as long as they are worked on.
+func TestChunkedBodyCountsByItsLengthOnceItIsWhole(t *testing.T) {
+	s, e, _ := serving(t, 8)
+	s.bodies.left.Store(protocol.MostBody + 2)
+	waits, _ := connect(t, s)
+	io.WriteString(waits, "POST /wait HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n")
+	assert.Eventually(t, func() bool { return s.bodies.left.Load() == protocol.MostBody }, 5*time.Second,
+		time.Millisecond)
+	waits.Close()
+	<-e.left
+	assert.Eventually(t, func() bool { return s.bodies.left.Load() == protocol.MostBody+2 }, 5*time.Second,
+		time.Millisecond)
+}
