Pass over start notes that the settings do not announce; bound a load report from below

Need: a worker that sent 'started' although familyInfo.tellsStart is absent served one invocation and was then shut out for good: Started took one from 'waiting', to which forward had added none, so that the count went below zero and idle never held again (decide.go, Started and idle).

Change: without announced start notes they change nothing, neither the count nor the votes on slots. Siblings looked at: progress lines pass unread; a second note for one forward was guarded already and has its test now; a load report far below nothing kept workers elsewhere untried for dozens of reports, and counts as none free now.

Measured: the test of three invocations on one worker fails without the change (the second is never forwarded); both other packages' tests as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -82,8 +82,10 @@
 	d.room, d.sweepAt = true, min(d.sweepAt, d.now+d.patience, i.timeout)
 }
 
+// Started takes a start note. One that the settings do not announce changes nothing: the forward was never
+// counted as waiting, and to count it as begun would keep its worker out for good.
 func (d *Dispatcher) Started(inv Inv, n int) {
-	if f := &d.invs[inv].forwards[n]; f.out && f.started == 0 {
+	if f := &d.invs[inv].forwards[n]; d.startNotes && f.out && f.started == 0 {
 		f.started, d.room = d.now, true
 		d.waiting[f.tgt]--
 		d.fits(f.tgt, d.load(f.tgt), d.now-f.sent < d.patience)
@@ -560,7 +562,7 @@
 		return
 	}
 	slots, k := r[d.atFree], d.kind[w]
-	d.luck += learn * (min(math.Round(slots), 1) - d.luck)
+	d.luck += learn * (min(max(math.Round(slots), 0), 1) - d.luck) // nor less than none, whatever it says
 	if d.atInFlight >= 0 && d.atQueue >= 0 {
 		slots += r[d.atInFlight] - r[d.atQueue]
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -447,3 +447,43 @@
 		assert.Len(t, d.invs[0].forwards, 1+c.copied, c)
 	}
 }
+
+// Guards against workers that send start notes which the settings do not announce: each served once,
+// and was then taken to have one waiting for good.
+func TestUnannouncedStartNotesShutNoWorkerOut(t *testing.T) {
+	terms := someTerms
+	terms.StartNotes = false
+	b := &book{}
+	d := New(terms, 1, b)
+	d.Clock(100 * Second)
+	d.Listed([]Entry{{Tgt: 0, ID: "w0"}}, true, true)
+	for range 3 {
+		d.Landed(0, Landing{Grace: 3 * Second})
+		d.Settle()
+		d.Started(0, 0)
+		d.Started(0, 0)
+		d.Ended(0, 0, Succeeded, true)
+		d.Settle()
+		assert.Zero(t, d.waiting[0])
+	}
+	assert.Equal(t, []string{"forward 0 to 0", "forward 0 to 0", "forward 0 to 0"}, b.lines[len(b.lines)-3:])
+}
+
+// Guards against a second start note for one forward, which would count one that still waits as begun.
+func TestSecondStartNoteChangesNothing(t *testing.T) {
+	d, _ := warmDispatcher(1, 1)
+	for inv := range Inv(2) {
+		d.Landed(inv, Landing{Grace: 3 * Second})
+		d.forward(inv, 0)
+	}
+	d.Started(0, 0)
+	d.Started(0, 0)
+	assert.Equal(t, 1, d.waiting[0])
+}
+
+// Guards against a load report out of all proportion, after which no worker elsewhere was tried for long.
+func TestLoadReportBelowNothingCountsAsNoSlotFree(t *testing.T) {
+	d, _ := warmDispatcher(1, 1)
+	d.Reported(0, []float64{-1e9})
+	assert.InDelta(t, 1-learn, d.luck, 1e-9)
+}
