Lab: schedule of arrivals, ledger that judges the four rules, stand-in workers and list

Need: nothing in the tree can show the dispatcher's main job or prove a rule without the operators' kit.

Change: first packages of the lab under internal/lab. load draws a schedule from shapes, a mix and a seed, or reads a trace; ledger writes down tries, forwards, notices, falls and outages and judges the four rules from them alone; worker is a machine without I/O (cores, queue, warmth, fall, dedup groups) and its server; registry is the list service with versions, watches, lag and troubles; peernet carries datagrams with loss and delay. Nothing is joined yet.

Measured: judge and machine are tested case by case (hand-computed finish times, every repeat rule).

--- /dev/null
+++ b/internal/lab/registry/catalog.go
@@ -0,0 +1,96 @@
+// Package registry is a stand-in for the platform's list service. The catalog in this file does no I/O and has
+// no clock; the server puts it on sockets, one for each dispatcher, as their views may differ.
+package registry
+
+import "time"
+
+// State is what the list says of a worker.
+type State string
+
+const (
+	Ready       State = "Ready"
+	Terminating State = "Terminating"
+	Gone        State = "Gone"
+)
+
+// Entry is a worker as it is listed.
+type Entry struct {
+	Worker           int // its number in the lab
+	Host, Site, Kind string
+	Block            int
+	Dials            []string // by dispatcher
+	State            State
+	Born             time.Time // zero for long ago
+}
+
+type change struct {
+	at    time.Duration
+	entry Entry
+}
+
+// Catalog is the list with its history. Version n is what holds after n changes.
+type Catalog struct {
+	lag     time.Duration
+	changes []change
+	visible int // changes that have been visible: a longer lag hides none again
+}
+
+// NewCatalog makes an empty list that shows what changes so much later.
+func NewCatalog(lag time.Duration) *Catalog { return &Catalog{lag: lag} }
+
+// Put changes an entry.
+func (c *Catalog) Put(now time.Duration, e Entry) {
+	c.changes = append(c.changes, change{now, e})
+}
+
+// Lag sets how far behind the list runs from now on.
+func (c *Catalog) Lag(now, lag time.Duration) {
+	c.Version(now)
+	c.lag = lag
+}
+
+// Version is the newest one that can be seen.
+func (c *Catalog) Version(now time.Duration) int {
+	for c.visible < len(c.changes) && c.changes[c.visible].at <= now-c.lag {
+		c.visible++
+	}
+	return c.visible
+}
+
+// Settled makes all changes so far visible: the list that an experiment begins with.
+func (c *Catalog) Settled() { c.visible = len(c.changes) }
+
+// Whole is the list as it can be seen, in the order in which workers were first listed.
+func (c *Catalog) Whole(now time.Duration) (version int, entries []Entry) {
+	version = c.Version(now)
+	for _, e := range latest(c.changes[:version]) {
+		if e.State != Gone {
+			entries = append(entries, e)
+		}
+	}
+	return version, entries
+}
+
+// Since is what changed after a version that the asker has; one that is unknown, or 0, gets the whole list.
+func (c *Catalog) Since(now time.Duration, version int) (newest int, whole bool, entries []Entry) {
+	newest = c.Version(now)
+	if version <= 0 || version > newest {
+		_, entries = c.Whole(now)
+		return newest, true, entries
+	}
+	return newest, false, latest(c.changes[version:newest])
+}
+
+// latest keeps the last entry of each worker.
+func latest(changes []change) (entries []Entry) {
+	place := map[int]int{}
+	for _, ch := range changes {
+		n, known := place[ch.entry.Worker]
+		if !known {
+			n = len(entries)
+			place[ch.entry.Worker], entries = n, append(entries, Entry{})
+		}
+		entries[n] = ch.entry
+	}
+	return entries
+}
--- /dev/null
+++ b/internal/lab/unit/unit.go
@@ -0,0 +1,36 @@
+// Package unit has the values that experiment files are written in.
+package unit
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+)
+
+// Span is a time that a file gives as text with its unit, such as "250ms" or "1m30s". It is never negative.
+type Span time.Duration
+
+// UnmarshalText reads a span; the error tells what was there.
+func (s *Span) UnmarshalText(b []byte) error {
+	d, err := time.ParseDuration(string(b))
+	if err != nil || d < 0 {
+		return fmt.Errorf("%q is not a time such as \"250ms\" or \"1m30s\"", b)
+	}
+	*s = Span(d)
+	return nil
+}
+
+// MarshalText writes a span as it is read.
+func (s Span) MarshalText() ([]byte, error) { return []byte(time.Duration(s).String()), nil }
+
+// D is the span for the standard library.
+func (s Span) D() time.Duration { return time.Duration(s) }
+
+// Chance is a stream of random figures drawn from a seed and a name, so that one stream that is drawn from more
+// often leaves the others as they were. Source: the standard library's PCG.
+func Chance(seed uint64, stream string) *rand.Rand {
+	h := fnv.New64a()
+	h.Write([]byte(stream))
+	return rand.New(rand.NewPCG(seed, h.Sum64()))
+}
--- /dev/null
+++ b/internal/lab/worker/machine_test.go
@@ -0,0 +1,121 @@
+package worker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+const sec = time.Second
+
+var (
+	twoCores = Kind{Cores: 2, Queue: 1}
+	slowCold = Cold{From: 0.2, Ramp: 10 * sec, Multiple: 4, Span: 2 * sec}
+	made     = func(id string) string { return "made " + id }
+)
+
+func warm() *Machine { return NewMachine(twoCores, slowCold, 0, true, made) }
+
+func finished(events []Event) (ids []string) {
+	for _, e := range events {
+		if e.What == Finished {
+			ids = append(ids, e.ID)
+		}
+	}
+	return ids
+}
+
+func offer(m *Machine, now time.Duration, id string, work time.Duration) Verdict {
+	v, _, _, _ := m.Offer(now, Job{ID: id, Work: work})
+	return v
+}
+
+func TestJobsRunOnCoresThenWaitThenAreDeclined(t *testing.T) {
+	m := warm()
+	assert.Equal(t, []Verdict{Accepted, Accepted, Accepted, Declined}, []Verdict{
+		offer(m, 0, "a", sec), offer(m, 0, "b", 2*sec), offer(m, 0, "c", sec), offer(m, 0, "d", sec)})
+	running, queued := m.Load()
+	assert.Equal(t, []int{2, 1}, []int{running, queued})
+	assert.Equal(t, []string{"a"}, finished(m.Advance(sec+time.Millisecond)))
+	// Both others end at two seconds: b of its own length, and c that began when a ended.
+	assert.Equal(t, []string{"b", "c"}, finished(m.Advance(2*sec+time.Millisecond)))
+}
+
+func TestWorkIsDoneByWarmth(t *testing.T) {
+	m := NewMachine(twoCores, slowCold, 0, false, made)
+	offer(m, 0, "a", sec)
+	// The integral of 0.2 + 0.08t is 1 where 0.04t^2 + 0.2t = 1, at t = 3.09.
+	at, _ := m.Next()
+	assert.Equal(t, Event{ID: "a", What: Halfway}, m.Advance(at)[0])
+	at, _ = m.Next()
+	assert.InDelta(t, 3.0902, at.Seconds(), 1e-3)
+	assert.Equal(t, []string{"a"}, finished(m.Advance(at)))
+	assert.InDelta(t, 0.2+0.08*at.Seconds(), m.Warmth(at), 1e-9)
+	assert.Equal(t, 1.0, m.Warmth(11*sec))
+}
+
+func TestPaceChangesWhileWorkRuns(t *testing.T) {
+	m := warm()
+	offer(m, 0, "a", sec)
+	m.Pace(500*time.Millisecond, 0.25)
+	m.Pace(700*time.Millisecond, 0) // it stands still: 0.45 s are left
+	_, any := m.Next()
+	assert.False(t, any)
+	m.Pace(5*sec, 1)
+	assert.Empty(t, finished(m.Advance(5440*time.Millisecond)))
+	assert.Equal(t, []string{"a"}, finished(m.Advance(5451*time.Millisecond)))
+}
+
+func TestColdMachineSentTooMuchTopples(t *testing.T) {
+	m := NewMachine(Kind{Cores: 2, Queue: 99}, slowCold, 0, false, made)
+	// It bears 4 * 0.2 * 2 * 2 s = 3.2 s of work at its start.
+	assert.Equal(t, Accepted, offer(m, 0, "a", 3*sec))
+	assert.Equal(t, Toppled, offer(m, 0, "b", 300*time.Millisecond))
+	assert.Equal(t, Accepted, offer(warm(), 0, "c", 300*sec), "a warm one bears anything")
+	m = NewMachine(twoCores, slowCold, 0, false, made)
+	assert.Equal(t, Accepted, offer(m, 0, "a", 3*sec))
+	assert.Equal(t, Accepted, offer(m, 2*sec, "b", 3*sec), "what lies before the span counts no more")
+}
+
+func TestCancelledJobFreesItsCoreAndItsKey(t *testing.T) {
+	g, m := NewGroup(10*sec), warm()
+	m.Offer(0, Job{ID: "a", Work: sec, Key: "k", Group: g})
+	_, events, _, _ := m.Offer(0, Job{ID: "b", Work: sec, Key: "k", Group: g})
+	assert.Empty(t, events, "a repeat waits for the first one")
+	events = m.Cancel(sec/4, "a")
+	assert.Equal(t, []Event{{ID: "b", What: Began}}, events)
+	assert.Equal(t, []string{"b"}, finished(m.Advance(2*sec)))
+}
+
+func TestRepeatsAreDroppedWithinTheGroupAndTheWindow(t *testing.T) {
+	g, one, two := NewGroup(10*sec), warm(), warm()
+	one.Offer(0, Job{ID: "a", Work: sec, Key: "k", Group: g})
+	two.Offer(0, Job{ID: "b", Work: sec, Key: "k", Group: g})
+	one.Advance(2 * sec)
+	assert.Equal(t, []Event{{ID: "b", What: Repeated, Result: "made a"}}, two.Advance(2*sec))
+	_, events, _, _ := two.Offer(9*sec, Job{ID: "c", Work: sec, Key: "k", Group: g})
+	assert.Equal(t, Repeated, events[0].What)
+	_, events, _, _ = two.Offer(11*sec, Job{ID: "d", Work: sec, Key: "k", Group: g})
+	assert.Equal(t, Began, events[0].What, "the window has passed")
+	assert.Len(t, g.first, 1)
+}
+
+func TestFirstOneThatWasLostWithItsProcessRunsElsewhere(t *testing.T) {
+	g, one, two := NewGroup(10*sec), warm(), warm()
+	one.Offer(0, Job{ID: "a", Work: sec, Key: "k", Group: g})
+	two.Offer(0, Job{ID: "b", Work: sec, Key: "k", Group: g})
+	one.End()
+	assert.Equal(t, Began, two.Advance(lookAgain)[0].What)
+}
+
+func TestDrainHandsBackWhatWaits(t *testing.T) {
+	m := warm()
+	for _, id := range []string{"a", "b", "c"} {
+		offer(m, 0, id, sec)
+	}
+	_, back := m.Drain(0)
+	assert.Equal(t, []string{"c"}, back)
+	assert.Equal(t, Declined, offer(m, 0, "d", sec))
+	assert.Equal(t, []string{"a", "b"}, finished(m.Advance(2*sec)))
+}
