--- /dev/null
+++ b/internal/lab/command/command.go
@@ -0,0 +1,327 @@
+// Package command is the command line of canvaslab.
+package command
+
+import (
+	"context"
+	_ "embed"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/schollz/progressbar/v3"
+	"github.com/spf13/cobra"
+
+	"canvasroute/internal/lab/experiment"
+	"canvasroute/internal/lab/report"
+	"canvasroute/internal/lab/rival"
+)
+
+//go:embed demo.toml
+var demo []byte
+
+// Codes that the process exits with.
+const (
+	exitFine   = 0
+	exitBroken = 1 // a rule was broken, or something failed
+	exitUsage  = 2 // an argument or a file is wrong
+	exitSignal = 130
+)
+
+// errBroken is a run that went through and in which a rule was broken or a process failed.
+var errBroken = errors.New("a rule was broken or a process failed")
+
+// errInterrupted is a run that was interrupted; its partial result is there.
+var errInterrupted = errors.New("interrupted: the result is partial")
+
+// badInput is a fault of what was handed in.
+type badInput struct{ error }
+
+func (b badInput) Unwrap() error { return b.error }
+
+// Main runs canvaslab with its arguments, and returns the code that the process exits with.
+func Main(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := New(os.Stdout, os.Stderr)
+	root.SetArgs(args)
+	err := root.ExecuteContext(ctx)
+	var code exitCode
+	var bad badInput
+	switch {
+	case err == nil:
+		return exitFine
+	case errors.As(err, &code):
+		return int(code)
+	case errors.Is(err, errInterrupted):
+		fmt.Fprintln(os.Stderr, "canvaslab:", err)
+		return exitSignal
+	case errors.As(err, &bad):
+		fmt.Fprintln(os.Stderr, "canvaslab:", err)
+		return exitUsage
+	}
+	fmt.Fprintln(os.Stderr, "canvaslab:", err)
+	return exitBroken
+}
+
+// exitCode is that of a stand-in.
+type exitCode int
+
+func (c exitCode) Error() string { return fmt.Sprintf("exit code %d", int(c)) }
+
+// New makes the command; tables go to out, progress to status.
+func New(out, status io.Writer) *cobra.Command {
+	root := &cobra.Command{Use: "canvaslab", Short: "Experiments with canvasroute on stand-ins",
+		Long: "canvaslab starts real canvasroute processes before a stand-in fleet, list service and peer network\n" +
+			"on loopback, plays an open-loop load and troubles, and judges the four rules from its own ledger.",
+		SilenceUsage: true, SilenceErrors: true}
+	root.SetOut(out)
+	root.SetErr(status)
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return badInput{err} })
+	root.AddCommand(demoCommand(out, status), runCommand(out, status), checkCommand(out), compareCommand(out),
+		saturateCommand(out, status), standInCommand())
+	return root
+}
+
+// runFlags are those of all commands that run experiments.
+type runFlags struct {
+	folder, dispatcher, policy string
+	seeds                      []uint
+	quiet                      bool
+}
+
+func (f *runFlags) add(c *cobra.Command) {
+	c.Flags().StringVarP(&f.folder, "out", "o", "", "folder for the result (default lab-results/NAME-TIME)")
+	c.Flags().StringVar(&f.dispatcher, "dispatcher", "", "dispatcher program (default: canvasroute beside this one)")
+	c.Flags().BoolVarP(&f.quiet, "quiet", "q", false, "no progress")
+}
+
+func demoCommand(out, status io.Writer) *cobra.Command {
+	f, show := &runFlags{}, false
+	c := &cobra.Command{Use: "demo", Short: "Three dispatchers, ten workers, a crash in the middle: half a minute",
+		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+			if show {
+				_, err := out.Write(demo)
+				return err
+			}
+			p, err := experiment.Parse("demo.toml", demo)
+			if err != nil {
+				return err
+			}
+			return f.run(c.Context(), p, out, status)
+		}}
+	f.add(c)
+	c.Flags().BoolVar(&show, "show", false, "print the experiment file instead, as a start for one of your own")
+	return c
+}
+
+func runCommand(out, status io.Writer) *cobra.Command {
+	f := &runFlags{}
+	c := &cobra.Command{Use: "run FILE", Short: "Run the experiment that a TOML file names", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			p, err := experiment.Read(args[0])
+			if err != nil {
+				return badInput{err}
+			}
+			if f.policy != "" {
+				if p, err = p.With(f.policy); err != nil {
+					return badInput{err}
+				}
+			}
+			return f.run(c.Context(), p, out, status)
+		}}
+	f.add(c)
+	c.Flags().StringVar(&f.policy, "policy", "", "dispatchers' policy in place of the file's: canvasroute, "+
+		strings.Join(rival.Policies, ", "))
+	c.Flags().UintSliceVar(&f.seeds, "seeds", nil, "seeds to run one after the other, in place of the file's")
+	return c
+}
+
+// run runs a plan under each seed, and leaves a folder for each where there are several.
+func (f *runFlags) run(ctx context.Context, p *experiment.Plan, out, status io.Writer) error {
+	dispatcher, self, err := experiment.Find(f.dispatcher)
+	if err != nil {
+		return badInput{err}
+	}
+	folder := f.folder
+	if folder == "" {
+		folder = filepath.Join("lab-results", slug(p.Name)+"-"+time.Now().Format("20060102-150405"))
+	}
+	seeds := f.seeds
+	if len(seeds) == 0 {
+		seeds = []uint{uint(p.Seed)}
+	}
+	broken := false
+	for _, seed := range seeds {
+		into := folder
+		if len(seeds) > 1 {
+			into = filepath.Join(folder, fmt.Sprint("seed-", seed))
+		}
+		o := experiment.Options{Folder: into, Dispatcher: dispatcher, Self: self}
+		finish := func() {}
+		if !f.quiet {
+			o.Progress, finish = progress(status, p.Long())
+		}
+		r, err := p.Run(ctx, uint64(seed), o)
+		finish()
+		if err != nil {
+			return err
+		}
+		page, err := report.Write(r, into)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%s, seed %d, %s\n%s  %-28s %s\n\n", r.Name, r.Seed, r.Policy, report.Text(r), "report", page)
+		broken = broken || r.Broken()
+		if r.Partial {
+			return errInterrupted
+		}
+	}
+	if broken {
+		return errBroken
+	}
+	return nil
+}
+
+// progress draws a bar; the second result ends it.
+func progress(status io.Writer, long time.Duration) (func(experiment.Progress), func()) {
+	bar := progressbar.NewOptions64(long.Milliseconds(), progressbar.OptionSetWriter(status),
+		progressbar.OptionSetWidth(24), progressbar.OptionThrottle(200*time.Millisecond),
+		progressbar.OptionSetPredictTime(true), progressbar.OptionClearOnFinish())
+	tell := func(g experiment.Progress) {
+		bar.Describe(fmt.Sprintf("%d calls: %d succeeded, %d throttled, %d other, %d open", g.Calls, g.Succeeded,
+			g.Throttled, g.Other, g.Open))
+		bar.Set64(min(g.At, g.Of).Milliseconds())
+	}
+	return tell, func() { bar.Finish() }
+}
+
+func slug(name string) string {
+	words := strings.FieldsFunc(strings.ToLower(name), func(r rune) bool {
+		return !(r >= 'a' && r <= 'z' || r >= '0' && r <= '9')
+	})
+	return strings.Join(words[:min(len(words), 4)], "-")
+}
+
+func checkCommand(out io.Writer) *cobra.Command {
+	return &cobra.Command{Use: "check FILE...", Short: "Check experiment files without running them",
+		Args: cobra.MinimumNArgs(1), RunE: func(_ *cobra.Command, args []string) error {
+			var faults []error
+			for _, path := range args {
+				p, err := experiment.Read(path)
+				if err != nil {
+					faults = append(faults, err)
+					continue
+				}
+				fmt.Fprintf(out, "%s: good; %d arrivals in %v\n", path, len(p.Schedule(p.Seed)), p.Long())
+			}
+			if len(faults) > 0 {
+				return badInput{errors.Join(faults...)}
+			}
+			return nil
+		}}
+}
+
+func compareCommand(out io.Writer) *cobra.Command {
+	return &cobra.Command{Use: "compare A B", Short: "Set two runs, or two folders of runs over seeds, side by side",
+		Args: cobra.ExactArgs(2), RunE: func(_ *cobra.Command, args []string) error {
+			a, err := experiment.ReadResults(args[0])
+			if err != nil {
+				return badInput{err}
+			}
+			b, err := experiment.ReadResults(args[1])
+			if err != nil {
+				return badInput{err}
+			}
+			fmt.Fprint(out, report.Compare(args[0], args[1], a, b))
+			return nil
+		}}
+}
+
+func saturateCommand(out, status io.Writer) *cobra.Command {
+	f := &runFlags{}
+	s := experiment.Saturation{Seed: 1, Steps: 4}
+	alone := false
+	c := &cobra.Command{Use: "saturate", Short: "Find the highest rate at which the objective holds",
+		Long: "saturate looks for the highest rate at which p99, counted from the intended time of sending, keeps the\n" +
+			"objective and nothing fails, on one core before workers that do no work; beside it, the same for the\n" +
+			"standard library's ReverseProxy.",
+		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+			return f.saturate(c.Context(), s, alone, out, status)
+		}}
+	c.Flags().StringVar(&f.dispatcher, "dispatcher", "", "dispatcher program (default: canvasroute beside this one)")
+	c.Flags().DurationVar(&s.Objective, "objective", 50*time.Millisecond, "for p99")
+	c.Flags().DurationVar(&s.For, "for", 4*time.Second, "length of a trial")
+	c.Flags().Float64Var(&s.Cores, "cores", 1, "of the dispatcher")
+	c.Flags().IntVar(&s.Workers, "workers", 16, "in the stand-in fleet")
+	c.Flags().Float64Var(&s.First, "from", 3000, "first rate, a second")
+	c.Flags().Float64Var(&s.Most, "to", 100000, "highest rate that is tried")
+	c.Flags().BoolVar(&alone, "alone", false, "without ReverseProxy beside it")
+	return c
+}
+
+func (f *runFlags) saturate(ctx context.Context, s experiment.Saturation, alone bool, out, status io.Writer) error {
+	dispatcher, self, err := experiment.Find(f.dispatcher)
+	if err != nil {
+		return badInput{err}
+	}
+	folder, err := os.MkdirTemp("", "canvaslab-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(folder)
+	policies := []string{experiment.Canvasroute, "reverse-proxy"}
+	if alone {
+		policies = policies[:1]
+	}
+	best := map[string]experiment.Trial{}
+	for _, policy := range policies {
+		s.Policy = policy
+		b, err := experiment.Saturate(ctx, s, experiment.Options{Folder: folder, Dispatcher: dispatcher, Self: self},
+			func(t experiment.Trial) {
+				verdict := "holds"
+				if !t.Holds {
+					verdict = t.Why
+				}
+				fmt.Fprintf(status, "  %-14s %8.0f a second  p99 %9.2f ms  %s\n", policy, t.Rate, t.P99, verdict)
+			})
+		if err != nil {
+			return err
+		}
+		best[policy] = b
+	}
+	fmt.Fprintf(out, "%-14s %10s %10s %10s %12s %12s %12s\n", "", "a second", "p50 ms", "p99 ms", "CPU us/call",
+		"allocs/call", "bytes/call")
+	for _, policy := range policies {
+		b := best[policy]
+		fmt.Fprintf(out, "%-14s %10.0f %10.2f %10.2f %12.1f %12.1f %12.0f\n", policy, b.Rate, b.P50, b.P99, b.CPU,
+			b.Mallocs, b.Bytes)
+	}
+	if p := best["reverse-proxy"]; !alone && p.Rate > 0 {
+		c := best[experiment.Canvasroute]
+		fmt.Fprintf(out, "%-14s %9.2fx %21.2fx %11.2fx %11.2fx %11.2fx\n", "ratio", c.Rate/p.Rate, c.P99/p.P99, c.CPU/p.CPU,
+			c.Mallocs/p.Mallocs, c.Bytes/p.Bytes)
+	}
+	return nil
+}
+
+// standInCommand is how the lab starts baselines in processes of their own.
+func standInCommand() *cobra.Command {
+	t := rival.Terms{}
+	c := &cobra.Command{Use: "stand-in", Hidden: true, Args: cobra.NoArgs,
+		Short: "Serve as a baseline dispatcher, as LB_CONFIG says",
+		RunE: func(*cobra.Command, []string) error {
+			if code := rival.Main(t); code != 0 {
+				return exitCode(code)
+			}
+			return nil
+		}}
+	c.Flags().StringVar(&t.Policy, "policy", "round-robin", "one of "+strings.Join(rival.Policies, ", "))
+	c.Flags().StringVar(&t.Fault, "fault", "", "one of "+strings.Join(rival.Faults, ", "))
+	return c
+}
--- /dev/null
+++ b/internal/lab/experiment/process.go
@@ -0,0 +1,186 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// process is a dispatcher's process through its lives. All signals go to the one process that we started.
+type process struct {
+	name, folder string
+	command      []string // the program and its arguments
+	log          *os.File
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	gone    chan struct{} // closed when the process of cmd has ended
+	wanted  bool          // its end is our doing
+	lives   int
+	faults  []string // ends that nobody wanted
+	cpu     time.Duration
+	stalled bool
+}
+
+func newProcess(name, folder string, command []string) (*process, error) {
+	log, err := os.Create(filepath.Join(folder, name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	return &process{name: name, folder: folder, command: command, log: log}, nil
+}
+
+// start starts the program with a configuration.
+func (p *process) start(config []byte) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	path := filepath.Join(p.folder, p.name+".json")
+	if err := os.WriteFile(path, config, 0o600); err != nil {
+		return err
+	}
+	cmd := exec.Command(p.command[0], p.command[1:]...)
+	cmd.Env = append(os.Environ(), "LB_CONFIG="+path)
+	cmd.Stdout, cmd.Stderr = p.log, p.log
+	cmd.SysProcAttr = apart()
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("dispatcher %s: %w", p.name, err)
+	}
+	gone := make(chan struct{})
+	p.cmd, p.gone, p.wanted, p.stalled = cmd, gone, false, false
+	p.lives++
+	go func() {
+		err := cmd.Wait()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+		if !p.wanted {
+			p.faults = append(p.faults, fmt.Sprintf("%s ended by itself: %v", p.name, err))
+		}
+		close(gone)
+	}()
+	return nil
+}
+
+// up tells whether the process runs.
+func (p *process) up() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return false
+	}
+	select {
+	case <-p.gone:
+		return false
+	default:
+		return true
+	}
+}
+
+func (p *process) signal(s syscall.Signal, ends bool) {
+	if !p.up() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wanted = p.wanted || ends
+	p.cmd.Process.Signal(s)
+}
+
+func (p *process) stall(still bool) {
+	if still {
+		p.signal(syscall.SIGSTOP, false)
+	} else {
+		p.signal(syscall.SIGCONT, false)
+	}
+	p.mu.Lock()
+	p.stalled = still
+	p.mu.Unlock()
+}
+
+// kill ends the process at once and waits for its end.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL, true)
+	p.wait(nil)
+}
+
+// errSlow is a process that did not end in time, and was killed.
+var errSlow = errors.New("did not end in time")
+
+// end asks the process to end, and kills it after a while.
+func (p *process) end(within time.Duration) error {
+	p.mu.Lock()
+	stalled := p.stalled
+	p.mu.Unlock()
+	if stalled {
+		p.stall(false)
+	}
+	p.signal(syscall.SIGTERM, true)
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	if p.wait(ctx) {
+		return nil
+	}
+	p.kill()
+	return fmt.Errorf("dispatcher %s: %w", p.name, errSlow)
+}
+
+// wait waits for the end of the process, and tells whether it came before that of ctx, if there is one.
+func (p *process) wait(ctx context.Context) bool {
+	p.mu.Lock()
+	gone := p.gone
+	p.mu.Unlock()
+	if gone == nil {
+		return true
+	}
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	select {
+	case <-gone:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Ports for dispatchers lie below those that the kernel deals out for connections: else one could be taken by a
+// connection while its dispatcher restarts.
+const (
+	leastPort = 10240
+	mostPort  = 32767
+	portTries = 200
+)
+
+// freePort finds a port that nobody listens on, over TCP and UDP.
+func freePort(taken map[uint16]bool) (netip.AddrPort, error) {
+	home := netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	for range portTries {
+		port := uint16(leastPort + rand.IntN(mostPort-leastPort))
+		at := netip.AddrPortFrom(home, port)
+		if taken[port] {
+			continue
+		}
+		ln, err := net.Listen("tcp", at.String())
+		if err != nil {
+			continue
+		}
+		ln.Close()
+		pc, err := net.ListenPacket("udp", at.String())
+		if err != nil {
+			continue
+		}
+		pc.Close()
+		taken[port] = true
+		return at, nil
+	}
+	return netip.AddrPort{}, fmt.Errorf("no free port found on 127.0.0.1 from %d to %d", leastPort, mostPort)
+}
--- /dev/null
+++ b/internal/lab/experiment/run.go
@@ -0,0 +1,148 @@
+package experiment
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"canvasroute/internal/lab/ledger"
+	"canvasroute/internal/lab/load"
+	"canvasroute/internal/lab/measure"
+	"canvasroute/internal/lab/sender"
+	"canvasroute/internal/lab/trouble"
+)
+
+// Options are how an experiment is run.
+type Options struct {
+	Folder     string // of the result; it must not hold one yet
+	Dispatcher string // the program under test
+	Self       string // this program, which stands in for baselines
+	Progress   func(Progress)
+}
+
+// Progress is how a run stands.
+type Progress struct {
+	At, Of                             time.Duration
+	Calls, Succeeded, Throttled, Other int64
+	Open                               int
+}
+
+// slots is into how many stretches a run's figures are cut at the most.
+const slots = 120
+
+// Run runs the plan once under a seed, and leaves the result in the folder. When ctx ends before, what has been
+// measured is left as a partial result, and no process remains.
+func (p *Plan) Run(ctx context.Context, seed uint64, o Options) (*Result, error) {
+	if err := os.MkdirAll(o.Folder, 0o755); err != nil {
+		return nil, err
+	}
+	if _, err := os.Stat(filepath.Join(o.Folder, resultName)); err == nil {
+		return nil, fmt.Errorf("%s: holds a result already", o.Folder)
+	}
+	timeline, err := trouble.Plan(p.Troubles, p.world(), seed)
+	if err != nil {
+		return nil, err
+	}
+	schedule := p.Schedule(seed)
+	began := time.Now()
+	w, err := open(ctx, p, seed, o.Folder, p.command(o))
+	if err != nil {
+		return nil, errors.Join(err, w.close())
+	}
+	recorder := measure.New(max(time.Second, p.Long()/slots), len(p.Operations), len(p.Customers))
+	s := &sender.Sender{Operations: p.Operations, Customers: p.Customers, Seed: seed, Retries: p.Load.Retries,
+		Wait: p.Load.Wait.D(), MostOpen: p.Load.Open, Front: w.front, Ledger: w.ledger, Recorder: recorder,
+		Clock: w.clock}
+	playing, stop := context.WithCancel(ctx)
+	w.during.Go(func() { w.play(playing, timeline.Actions) })
+	w.during.Go(func() { p.tellProgress(playing, s, recorder, o.Progress) })
+	s.Run(ctx, schedule)
+	stop()
+	closing := w.close()
+	r := p.result(w, recorder, timeline, schedule, seed)
+	r.Began, r.Partial = began.UTC().Format(time.RFC3339), ctx.Err() != nil
+	if closing != nil {
+		r.Failures = append(r.Failures, closing.Error())
+	}
+	return r, r.write(o.Folder)
+}
+
+// command is the program of a dispatcher and its arguments.
+func (p *Plan) command(o Options) []string {
+	d := &p.Dispatchers
+	if d.Policy == Canvasroute {
+		return []string{o.Dispatcher}
+	}
+	command := []string{o.Self, "stand-in", "--policy", d.Policy}
+	if d.Fault != "" {
+		command = append(command, "--fault", d.Fault)
+	}
+	return command
+}
+
+// Find looks for the program under test: as it is named, or beside this one.
+func Find(named string) (dispatcher, self string, err error) {
+	if self, err = os.Executable(); err != nil {
+		return "", "", err
+	}
+	if named == "" {
+		named = filepath.Join(filepath.Dir(self), "canvasroute")
+	}
+	if dispatcher, err = exec.LookPath(named); err != nil {
+		return "", "", fmt.Errorf("no dispatcher to start: %w; build it beside this program with "+
+			"go build -o bin/ ./cmd/..., or name it with --dispatcher", err)
+	}
+	if dispatcher, err = filepath.Abs(dispatcher); err != nil {
+		return "", "", err
+	}
+	return dispatcher, self, nil
+}
+
+// tellEvery is how often progress is told.
+const tellEvery = 200 * time.Millisecond
+
+func (p *Plan) tellProgress(ctx context.Context, s *sender.Sender, r *measure.Recorder, tell func(Progress)) {
+	if tell == nil {
+		return
+	}
+	ticker := time.NewTicker(tellEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		g := Progress{At: s.Clock(), Of: p.Long(), Open: s.Open()}
+		g.Calls, g.Succeeded, g.Throttled, g.Other = r.Snapshot()
+		tell(g)
+	}
+}
+
+// terms are what the ledger judges by.
+func (p *Plan) terms(w *world) ledger.Terms {
+	t := ledger.Terms{Grace: p.Dispatchers.DrainGrace.D(), Slack: p.Slack.D()}
+	for _, o := range p.Operations {
+		scope := scopeOf(o)
+		t.Operations = append(t.Operations, ledger.Repeat{Name: o.Name, Idempotent: o.Repeat == load.Idempotent,
+			Once: o.Repeat == load.NonIdempotent, ScopeAll: scope == "all", ScopeZone: scope == "zone",
+			ScopeCell: scope == "cell", Window: o.Window.D()})
+	}
+	for _, s := range w.servers {
+		_, _, zone, cell := s.Site()
+		t.Workers = append(t.Workers, ledger.Place{Zone: zone, Cell: cell})
+	}
+	return t
+}
+
+// fingerprint tells two schedules apart.
+func fingerprint(schedule []load.Arrival) string {
+	sum := sha256.Sum256(load.Bytes(schedule))
+	return hex.EncodeToString(sum[:8])
+}
--- /dev/null
+++ b/internal/lab/experiment/world.go
@@ -0,0 +1,442 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"canvasroute/internal/lab/ledger"
+	"canvasroute/internal/lab/load"
+	"canvasroute/internal/lab/peernet"
+	"canvasroute/internal/lab/registry"
+	"canvasroute/internal/lab/sender"
+	"canvasroute/internal/lab/trouble"
+	"canvasroute/internal/lab/worker"
+)
+
+// Bounds on starts and ends.
+const (
+	readyWithin  = 15 * time.Second
+	endWithin    = 6 * time.Second
+	leaveAfter   = 300 * time.Millisecond // at a planned restart connections go on coming for a while
+	restartAfter = 100 * time.Millisecond // from its end to its next start
+	startTries   = 3
+)
+
+// world is everything round the load: the stand-ins and the dispatchers' processes.
+type world struct {
+	plan    *Plan
+	seed    uint64
+	folder  string
+	command []string
+	zero    atomic.Int64 // Unix time in nanoseconds at which the experiment's time begins
+
+	ledger  *ledger.Ledger
+	list    *registry.Service
+	catalog *registry.Catalog
+	fleet   *worker.Fleet
+	peers   *peernet.Net
+	front   *sender.Front
+
+	listen    []netip.AddrPort
+	processes []*process
+	running   *errgroup.Group // what lasts to the end
+	stop      context.CancelFunc
+	during    sync.WaitGroup // what follows from troubles
+
+	mu       sync.Mutex
+	servers  []*worker.Server
+	pace     []map[int]float64 // by worker, then by trouble
+	away     map[int]time.Duration
+	failures []string
+}
+
+// clock is the time since the experiment's start.
+func (w *world) clock() time.Duration { return time.Duration(time.Now().UnixNano() - w.zero.Load()) }
+
+// open builds the stand-ins and starts the dispatchers. It has to be closed, also after an error.
+func open(ctx context.Context, p *Plan, seed uint64, folder string, command []string) (*world, error) {
+	w := &world{plan: p, seed: seed, folder: folder, command: command, ledger: ledger.New(),
+		away: map[int]time.Duration{}}
+	w.zero.Store(time.Now().UnixNano())
+	running, cancel := context.WithCancel(context.Background())
+	w.running, running = errgroup.WithContext(running)
+	w.stop = cancel
+	if err := w.standIns(running); err != nil {
+		return w, err
+	}
+	err := errors.New("never tried")
+	for range startTries {
+		if err = w.start(ctx, running); !errors.Is(err, errNoStart) {
+			break
+		}
+		w.endProcesses(time.Second)
+	}
+	if err == nil {
+		w.zero.Store(time.Now().UnixNano())
+	}
+	return w, err
+}
+
+func (w *world) standIns(ctx context.Context) (err error) {
+	p := w.plan
+	var drops []worker.Deduplication
+	for _, o := range p.Operations {
+		d := worker.Deduplication{Name: o.Name, Window: o.Window.D()}
+		if o.Repeat == load.Deduplicated {
+			d.Scope = scopeOf(o)
+		}
+		drops = append(drops, d)
+	}
+	f := p.Fleet
+	w.fleet = worker.NewFleet(worker.Terms{Idle: f.Idle.D(), StartNotes: f.StartNotes, Progress: f.Progress,
+		Probes: f.Probes, Instant: p.instant, Cold: worker.Cold{From: f.ColdFrom, Ramp: f.ColdRamp.D(), Multiple: f.ColdMultiple,
+			Span: f.ColdSpan.D()}}, drops, w.ledger, w.clock, w.fell)
+	w.catalog = registry.NewCatalog(f.ListLag.D())
+	if w.list, err = registry.New(w.catalog, p.Dispatchers.Count, w.clock, w.told); err != nil {
+		return err
+	}
+	kinds, zones, cells := p.sites()
+	for n := range kinds {
+		if err := w.add(f.Kinds[kinds[n]], zones[n], cells[n], true); err != nil {
+			return err
+		}
+	}
+	w.catalog.Settled()
+	w.running.Go(func() error { return w.list.Run(ctx) })
+	return nil
+}
+
+// add makes one more worker, starts it and lists it.
+func (w *world) add(k worker.Kind, zone, cell int, warm bool) error {
+	w.mu.Lock()
+	n := len(w.servers)
+	s := w.fleet.Add(fmt.Sprintf("w%02d", n), k, zone, cell, w.plan.Dispatchers.Count)
+	w.servers, w.pace = append(w.servers, s), append(w.pace, map[int]float64{})
+	w.mu.Unlock()
+	if err := s.Start(warm); err != nil {
+		return err
+	}
+	w.enlist(n, registry.Ready, warm)
+	return nil
+}
+
+// enlist tells the list service what a worker is now.
+func (w *world) enlist(n int, state registry.State, longAgo bool) {
+	s := w.server(n)
+	name, kind, zone, cell := s.Site()
+	e := registry.Entry{Worker: n, Host: name, Site: w.plan.Fleet.Zones[zone], Kind: kind, Block: cell,
+		Dials: s.Addresses(), State: state}
+	if born := s.Born(); !longAgo && born > 0 {
+		e.Born = time.Unix(0, w.zero.Load()).Add(born)
+	}
+	w.list.Put(e)
+}
+
+func (w *world) server(n int) *worker.Server {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.servers[n]
+}
+
+func (w *world) told(dispatcher int, e registry.Entry) {
+	w.ledger.Told(ledger.Notice{Dispatcher: dispatcher, Worker: e.Worker, Ready: e.State == registry.Ready,
+		At: w.clock()})
+}
+
+// fell lists a worker that was pushed over as gone; it stays down.
+func (w *world) fell(n int) { w.enlist(n, registry.Gone, false) }
+
+var errNoStart = errors.New("did not become ready")
+
+// start starts all dispatchers on free ports, and waits until all are ready.
+func (w *world) start(ctx, running context.Context) error {
+	count, taken := w.plan.Dispatchers.Count, map[uint16]bool{}
+	w.listen, w.processes = nil, nil
+	var own []netip.AddrPort
+	for n := range count {
+		at, err := freePort(taken)
+		if err != nil {
+			return err
+		}
+		w.listen = append(w.listen, at)
+		peer, err := freePort(taken)
+		if err != nil {
+			return err
+		}
+		own = append(own, peer)
+		p, err := newProcess(dispatcherName(n), w.folder, w.command)
+		if err != nil {
+			return err
+		}
+		w.processes = append(w.processes, p)
+	}
+	d := &w.plan.Dispatchers
+	if d.Peers && count > 1 {
+		var err error
+		if w.peers, err = peernet.New(own, w.manner(), w.seed); err != nil {
+			return err
+		}
+		w.running.Go(func() error { return w.peers.Run(running) })
+	}
+	var addresses []string
+	for n := range count {
+		addresses = append(addresses, w.listen[n].String())
+		if err := w.launch(n); err != nil {
+			return err
+		}
+	}
+	w.front = sender.NewFront(addresses, d.NoticeAfter.D())
+	w.running.Go(func() error { return w.front.Run(running) })
+	return w.ready(ctx)
+}
+
+func (w *world) manner() peernet.Manner {
+	d := &w.plan.Dispatchers
+	return peernet.Manner{Loss: d.PeerLoss, Delay: d.PeerDelay.D(), Jitter: d.PeerJitter.D()}
+}
+
+// launch starts one dispatcher's process: it has been told nothing yet.
+func (w *world) launch(n int) error {
+	var peers []netip.AddrPort
+	if w.peers != nil {
+		peers = w.peers.View(n)
+	}
+	p := w.processes[n]
+	config, err := w.plan.placement(n, p.lives, w.seed, w.listen[n].String(), w.list.Address(n), peers,
+		w.list.Whole(n))
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	workers := len(w.servers)
+	w.mu.Unlock()
+	for k := range workers {
+		w.ledger.Told(ledger.Notice{Dispatcher: n, Worker: k, Ready: true, At: w.clock()})
+	}
+	return p.start(config)
+}
+
+func (w *world) ready(ctx context.Context) error {
+	limit := time.Now().Add(readyWithin)
+	for !w.front.Ready() {
+		for _, p := range w.processes {
+			if !p.up() {
+				return fmt.Errorf("%s %w: see its log %s", p.name, errNoStart, p.log.Name())
+			}
+		}
+		if time.Now().After(limit) {
+			return fmt.Errorf("dispatchers %w within %v", errNoStart, readyWithin)
+		}
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// play carries the timeline out until ctx ends.
+func (w *world) play(ctx context.Context, actions []trouble.Action) {
+	for _, a := range actions {
+		select {
+		case <-time.After(max(a.At-w.clock(), 0)):
+			w.do(ctx, a)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (w *world) do(ctx context.Context, a trouble.Action) {
+	switch a.Do {
+	case trouble.ListLag:
+		w.list.Lag(a.Span)
+	case trouble.ListLagEnds:
+		w.list.Lag(w.plan.Fleet.ListLag.D())
+	case trouble.ListAway:
+		w.list.Set(registry.Away)
+	case trouble.ListRefuses:
+		w.list.Set(registry.Refuses)
+	case trouble.ListFine:
+		w.list.Set(registry.Fine)
+	case trouble.PeersCut, trouble.PeersLose, trouble.PeersFine:
+		w.doPeers(a)
+	case trouble.WorkerAdd:
+		kinds := w.plan.Fleet.Kinds
+		for range int(a.Figure) {
+			w.mu.Lock()
+			n := len(w.servers)
+			w.mu.Unlock()
+			zones := len(w.plan.Fleet.Zones)
+			w.failed(w.add(kinds[0], n%zones, n/zones/w.plan.Fleet.CellSize*zones+n%zones, false))
+		}
+	case trouble.DispatcherKill, trouble.DispatcherStart, trouble.DispatcherStall, trouble.DispatcherGoOn,
+		trouble.DispatcherRestart:
+		for _, n := range a.Targets {
+			w.doDispatcher(ctx, a.Do, n)
+		}
+	default:
+		for _, n := range a.Targets {
+			w.doWorker(a, n)
+		}
+	}
+}
+
+func (w *world) doPeers(a trouble.Action) {
+	if w.peers == nil {
+		return
+	}
+	m := w.manner()
+	switch a.Do {
+	case trouble.PeersCut:
+		m.Cut = true
+	case trouble.PeersLose:
+		m.Loss = a.Figure
+	}
+	w.peers.Set(m)
+}
+
+func (w *world) doWorker(a trouble.Action, n int) {
+	s := w.server(n)
+	switch a.Do {
+	case trouble.WorkerCrash, trouble.WorkerEnd:
+		if s.Up() {
+			s.Crash()
+			w.enlist(n, registry.Gone, false)
+		}
+	case trouble.WorkerReturn:
+		if !s.Up() {
+			w.failed(s.Start(false))
+			w.enlist(n, registry.Ready, false)
+		}
+	case trouble.WorkerPace:
+		w.mu.Lock()
+		w.pace[n][a.Trouble] = a.Figure
+		pace := 1.0
+		for _, part := range w.pace[n] {
+			pace *= part
+		}
+		w.mu.Unlock()
+		s.Pace(pace)
+	case trouble.WorkerPause, trouble.WorkerResume:
+		s.Pause(a.Do == trouble.WorkerPause)
+	case trouble.WorkerSilent, trouble.WorkerSpeaks:
+		s.Silence(a.Do == trouble.WorkerSilent)
+	case trouble.WorkerCut, trouble.WorkerHeal:
+		s.Cut(a.Do == trouble.WorkerCut)
+	case trouble.WorkerDrain:
+		if s.Up() {
+			s.Drain()
+			w.enlist(n, registry.Terminating, s.Born() <= 0)
+		}
+	}
+}
+
+func (w *world) doDispatcher(ctx context.Context, do trouble.Do, n int) {
+	p := w.processes[n]
+	switch do {
+	case trouble.DispatcherKill:
+		w.leaves(n)
+		p.kill()
+	case trouble.DispatcherStall:
+		w.leaves(n)
+		p.stall(true)
+	case trouble.DispatcherGoOn:
+		p.stall(false)
+		w.returns(n)
+	case trouble.DispatcherStart:
+		if !p.up() {
+			w.failed(w.launch(n))
+			w.returns(n)
+		}
+	case trouble.DispatcherRestart:
+		w.during.Go(func() { w.restart(ctx, n) })
+	}
+}
+
+// restart ends a dispatcher as the platform plans it, and starts it again.
+func (w *world) restart(ctx context.Context, n int) {
+	p, from := w.processes[n], w.clock()
+	if !p.up() {
+		return
+	}
+	leave := time.AfterFunc(leaveAfter, func() { w.front.Leave(n) })
+	defer leave.Stop()
+	w.failed(p.end(endWithin))
+	w.front.Leave(n)
+	time.Sleep(restartAfter)
+	if ctx.Err() != nil {
+		return
+	}
+	w.failed(w.launch(n))
+	w.ledger.Away(ledger.Outage{Dispatcher: n, Planned: true, From: from, To: w.clock()})
+}
+
+func (w *world) leaves(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.away[n] = w.clock()
+}
+
+// backWithin is how long a dispatcher may need after it goes on until it keeps time again.
+const backWithin = 250 * time.Millisecond
+
+func (w *world) returns(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if from, was := w.away[n]; was {
+		w.ledger.Away(ledger.Outage{Dispatcher: n, From: from, To: w.clock() + backWithin})
+		delete(w.away, n)
+	}
+}
+
+func (w *world) failed(err error) {
+	if err == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failures = append(w.failures, err.Error())
+}
+
+func (w *world) endProcesses(within time.Duration) {
+	var ending sync.WaitGroup
+	for _, p := range w.processes {
+		ending.Go(func() {
+			if p.up() {
+				w.failed(p.end(within))
+			}
+			p.log.Close()
+		})
+	}
+	ending.Wait()
+}
+
+// close ends all processes and stand-ins. Nothing of the world runs after it.
+func (w *world) close() error {
+	w.during.Wait()
+	w.mu.Lock()
+	for n := range w.away {
+		w.ledger.Away(ledger.Outage{Dispatcher: n, From: w.away[n], To: 1 << 62})
+	}
+	w.mu.Unlock()
+	w.endProcesses(endWithin)
+	w.stop()
+	err := w.running.Wait()
+	if w.fleet != nil {
+		w.fleet.Wait()
+	}
+	if errors.Is(err, os.ErrClosed) {
+		err = nil
+	}
+	return err
+}
--- a/internal/lab/ledger/judge.go
+++ b/internal/lab/ledger/judge.go
@@ -33,10 +33,10 @@
 
 // Repeat says how far an operation may run again.
 type Repeat struct {
-	Name                        string
-	Idempotent, Once            bool // neither: it is deduplicated
-	ScopeAll, ScopeZone, ScopeC bool // the group that drops repeats
-	Window                      time.Duration
+	Name                           string
+	Idempotent, Once               bool // neither: it is deduplicated
+	ScopeAll, ScopeZone, ScopeCell bool // the group that drops repeats
+	Window                         time.Duration
 }
 
 // Place is where a worker stands.
@@ -138,7 +138,7 @@
 		return fmt.Sprintf("forwarded again, though worker %d may have run it", earlier.Worker)
 	}
 	a, b := t.Workers[earlier.Worker], t.Workers[f.Worker]
-	if !(o.ScopeAll || o.ScopeZone && a.Zone == b.Zone || o.ScopeC && a.Cell == b.Cell) {
+	if !(o.ScopeAll || o.ScopeZone && a.Zone == b.Zone || o.ScopeCell && a.Cell == b.Cell) {
 		return fmt.Sprintf("forwarded outside the dedup group of worker %d, which may have run it", earlier.Worker)
 	}
 	if f.First > earlier.Whole+o.Window {
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -20,11 +20,12 @@
 	Broken      // the connection ended with no whole answer
 	Unreachable // no dispatcher took the connection: it was never taken
 	Interrupted // the experiment ended first
+	Unsent      // the generator could not send it: it has as many open as it may
 )
 
 // Kinds are their names, as results tell them.
 var Kinds = [...]string{Open: "open", Succeeded: "succeeded", Throttled: "throttled", Errored: "errored",
-	Unanswered: "unanswered", Broken: "broken", Unreachable: "unreachable", Interrupted: "interrupted"}
+	Unanswered: "unanswered", Broken: "broken", Unreachable: "unreachable", Interrupted: "interrupted", Unsent: "unsent"}
 
 // End is how a forward ended at its worker.
 type End uint8
--- /dev/null
+++ b/internal/lab/measure/summary.go
@@ -0,0 +1,125 @@
+package measure
+
+import (
+	"fmt"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"canvasroute/internal/lab/ledger"
+)
+
+// Latency are percentiles in milliseconds.
+type Latency struct {
+	Count int64   `json:"count"`
+	Mean  float64 `json:"mean_ms"`
+	P50   float64 `json:"p50_ms"`
+	P90   float64 `json:"p90_ms"`
+	P99   float64 `json:"p99_ms"`
+	P999  float64 `json:"p999_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// Tally is what calls came to.
+type Tally struct {
+	Name       string           `json:"name,omitempty"`
+	Calls      int64            `json:"calls"`
+	Answers    map[string]int64 `json:"answers"` // by kind
+	InTime     int64            `json:"in_time"`
+	Tries      int64            `json:"tries"`
+	ValueShare float64          `json:"value_share"` // of the billed value asked for
+	Latency    *Latency         `json:"latency,omitempty"`
+}
+
+// Slot is one stretch of time.
+type Slot struct {
+	From     float64          `json:"from_s"`
+	Arrivals int64            `json:"arrivals"`
+	Answers  map[string]int64 `json:"answers"`
+	P50      float64          `json:"p50_ms"`
+	P95      float64          `json:"p95_ms"`
+	P99      float64          `json:"p99_ms"`
+}
+
+// Generator is how well the load generator itself kept to its schedule.
+type Generator struct {
+	Late      Latency `json:"late"` // from the intended to the real time of sending
+	LateCalls int64   `json:"late_calls"`
+	Unsent    int64   `json:"unsent"`
+	Trusted   bool    `json:"trusted"`
+	Why       string  `json:"why,omitempty"`
+}
+
+// Summary is all that a recorder holds.
+type Summary struct {
+	Total      Tally     `json:"total"`
+	Succeeded  Latency   `json:"latency_succeeded"`
+	All        Latency   `json:"latency_all"` // unanswered ones count with their wait
+	Generator  Generator `json:"generator"`
+	Operations []Tally   `json:"operations"`
+	Customers  []Tally   `json:"customers,omitempty"`
+	Every      float64   `json:"slot_s"`
+	Slots      []Slot    `json:"slots"`
+}
+
+// Summary reads the figures off, with the names of operations and customers.
+func (r *Recorder) Summary(operations, customers []string) Summary {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := Summary{Total: r.total.read(""), Succeeded: read(r.succeeded), All: read(r.all), Every: r.every.Seconds()}
+	for n, t := range r.operations {
+		s.Operations = append(s.Operations, t.read(operations[n]))
+	}
+	for n, t := range r.customers {
+		s.Customers = append(s.Customers, t.read(customers[n]))
+	}
+	for n, slot := range r.slots {
+		s.Slots = append(s.Slots, Slot{From: float64(n) * s.Every, Arrivals: slot.arrivals,
+			Answers: named(slot.kinds[:]), P50: ms(slot.latency.ValueAtQuantile(50)),
+			P95: ms(slot.latency.ValueAtQuantile(95)), P99: ms(slot.latency.ValueAtQuantile(99))})
+	}
+	s.Generator = Generator{Late: read(r.late), LateCalls: r.lateCalls,
+		Unsent: r.total.kinds[ledger.Unsent], Trusted: true}
+	switch g := &s.Generator; {
+	case g.Unsent > 0:
+		g.Trusted, g.Why = false, fmt.Sprintf("%d calls were never sent: too many were open", g.Unsent)
+	case float64(g.LateCalls) > lateShare*float64(g.Late.Count):
+		g.Trusted, g.Why = false, fmt.Sprintf("%d of %d calls were sent more than %v late", g.LateCalls,
+			g.Late.Count, LateAfter)
+	}
+	return s
+}
+
+func (t *tally) read(name string) Tally {
+	out := Tally{Name: name, Calls: t.calls, Answers: named(t.kinds[:]), InTime: t.inTime, Tries: t.tries}
+	if t.asked > 0 {
+		out.ValueShare = t.earned / t.asked
+	}
+	if t.latency != nil {
+		l := read(t.latency)
+		out.Latency = &l
+	}
+	return out
+}
+
+func named(kinds []int64) map[string]int64 {
+	m := map[string]int64{}
+	for k, n := range kinds {
+		if n > 0 {
+			m[ledger.Kinds[k]] = n
+		}
+	}
+	return m
+}
+
+func ms(us int64) float64 { return float64(us) / 1000 }
+
+func read(h *hdrhistogram.Histogram) Latency {
+	l := Latency{Count: h.TotalCount()}
+	if l.Count == 0 {
+		return l
+	}
+	l.Mean, l.Max = h.Mean()/1000, ms(h.Max())
+	l.P50, l.P90, l.P99 = ms(h.ValueAtQuantile(50)), ms(h.ValueAtQuantile(90)), ms(h.ValueAtQuantile(99))
+	l.P999 = ms(h.ValueAtQuantile(99.9))
+	return l
+}
--- a/internal/lab/registry/catalog.go
+++ b/internal/lab/registry/catalog.go
@@ -60,15 +60,11 @@
 // Settled makes all changes so far visible: the list that an experiment begins with.
 func (c *Catalog) Settled() { c.visible = len(c.changes) }
 
-// Whole is the list as it can be seen, in the order in which workers were first listed.
+// Whole is the list as it can be seen, in the order in which workers were first listed, and with those that are
+// gone: a whole list tells of them by leaving them out.
 func (c *Catalog) Whole(now time.Duration) (version int, entries []Entry) {
 	version = c.Version(now)
-	for _, e := range latest(c.changes[:version]) {
-		if e.State != Gone {
-			entries = append(entries, e)
-		}
-	}
-	return version, entries
+	return version, latest(c.changes[:version])
 }
 
 // Since is what changed after a version that the asker has; one that is unknown, or 0, gets the whole list.
--- a/internal/lab/registry/server.go
+++ b/internal/lab/registry/server.go
@@ -212,6 +212,9 @@
 		Hosts []host `json:"hosts"`
 	}{version, whole, []host{}}
 	for _, e := range entries {
+		if whole && e.State == Gone {
+			continue
+		}
 		h := host{Host: e.Host, Dial: e.Dials[dispatcher], Site: e.Site, Class: e.Kind, Block: e.Block,
 			Health: e.State, Share: 1}
 		if !e.Born.IsZero() {
--- /dev/null
+++ b/internal/lab/report/charts.go
@@ -0,0 +1,211 @@
+// Package report shows results to people: charts on a page, a table of figures, and two runs side by side.
+package report
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"image/color"
+	"math"
+	"slices"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/palette/brewer"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"canvasroute/internal/lab/experiment"
+	"canvasroute/internal/lab/measure"
+)
+
+// Sizes of a chart.
+const (
+	wide = 24 * vg.Centimeter
+	high = 8 * vg.Centimeter
+)
+
+// colours by what they stand for, so that all charts agree.
+var colours = map[string]color.Color{
+	"arrivals": color.Gray{90}, "succeeded": color.RGBA{44, 140, 80, 255}, "throttled": color.RGBA{230, 150, 20, 255},
+	"errored": color.RGBA{200, 40, 40, 255}, "unanswered": color.RGBA{120, 40, 160, 255},
+	"broken": color.RGBA{0, 0, 0, 255}, "unreachable": color.RGBA{110, 80, 50, 255},
+	"interrupted": color.RGBA{120, 120, 200, 255}, "unsent": color.RGBA{250, 0, 200, 255},
+	"p50": color.RGBA{60, 110, 190, 255}, "p95": color.RGBA{90, 60, 160, 255}, "p99": color.RGBA{200, 40, 90, 255},
+}
+
+// canvas makes an empty chart over the run's time, with its troubles marked.
+func canvas(r *experiment.Result, title, unit string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text, p.Y.Label.Text, p.X.Label.Text = title, unit, "seconds from the start"
+	p.X.Min, p.X.Max = 0, max(r.Long, 1)
+	p.Legend.Top, p.Legend.Left = true, false
+	p.Add(plotter.NewGrid())
+	return p
+}
+
+// mark shades the times of troubles up to a height. What lasts to the end, or for a moment, is a band of its own.
+func mark(p *plot.Plot, r *experiment.Result, low, high float64) {
+	for n, m := range r.Troubles {
+		from, to := m.From.Seconds(), m.To.Seconds()
+		to = max(to, from+r.Long/200)
+		band, err := plotter.NewPolygon(plotter.XYs{{X: from, Y: low}, {X: to, Y: low}, {X: to, Y: high},
+			{X: from, Y: high}})
+		if err != nil {
+			continue
+		}
+		band.Color, band.LineStyle.Width = color.NRGBA{200, 60, 60, 36}, 0
+		p.Add(band)
+		text, err := plotter.NewLabels(plotter.XYLabels{XYs: plotter.XYs{{X: from, Y: high}},
+			Labels: []string{fmt.Sprint(" ", n+1)}})
+		if err == nil {
+			text.Offset = vg.Point{Y: -12}
+			p.Add(text)
+		}
+	}
+}
+
+func line(p *plot.Plot, name string, points plotter.XYs, dashed bool) {
+	if len(points) == 0 {
+		return
+	}
+	l, err := plotter.NewLine(points)
+	if err != nil {
+		return
+	}
+	l.Color, l.Width = colours[name], vg.Points(1.6)
+	if dashed {
+		l.Dashes = []vg.Length{vg.Points(5), vg.Points(3)}
+	}
+	p.Add(l)
+	p.Legend.Add(name, l)
+}
+
+func svg(p *plot.Plot) (template.HTML, error) {
+	c := vgsvg.New(wide, high)
+	p.Draw(draw.New(c))
+	var b bytes.Buffer
+	if _, err := c.WriteTo(&b); err != nil {
+		return "", fmt.Errorf("drawing %q: %w", p.Title.Text, err)
+	}
+	text := b.String()
+	if at := strings.Index(text, "<svg"); at >= 0 { // the prologue is for a file of its own
+		text = text[at:]
+	}
+	return template.HTML(text), nil
+}
+
+// answers shows arrivals and how they ended, a second.
+func answers(r *experiment.Result) *plot.Plot {
+	p := canvas(r, "Arrivals and answers", "a second")
+	over := func(count func(measure.Slot) int64) (points plotter.XYs, any bool) {
+		for _, s := range r.Calls.Slots {
+			n := count(s)
+			any = any || n > 0
+			points = append(points, plotter.XY{X: s.From + r.Calls.Every/2, Y: float64(n) / r.Calls.Every})
+		}
+		return points, any
+	}
+	arrivals, _ := over(func(s measure.Slot) int64 { return s.Arrivals })
+	top := 1.0
+	for _, at := range arrivals {
+		top = max(top, at.Y)
+	}
+	mark(p, r, 0, top*1.15)
+	line(p, "arrivals", arrivals, true)
+	for _, kind := range []string{"succeeded", "throttled", "errored", "unanswered", "broken", "unreachable",
+		"interrupted", "unsent"} {
+		if points, any := over(func(s measure.Slot) int64 { return s.Answers[kind] }); any {
+			line(p, kind, points, false)
+		}
+	}
+	p.Y.Min, p.Y.Max = 0, top*1.15
+	return p
+}
+
+// latency shows percentiles of what succeeded, by when it was meant to be sent.
+func latency(r *experiment.Result) *plot.Plot {
+	p := canvas(r, "Latency of what succeeded, from the intended time of sending", "ms")
+	low, high := math.Inf(1), 1.0
+	lines := map[string]plotter.XYs{}
+	for _, s := range r.Calls.Slots {
+		if s.P50 <= 0 {
+			continue
+		}
+		at := s.From + r.Calls.Every/2
+		for name, v := range map[string]float64{"p50": s.P50, "p95": s.P95, "p99": s.P99} {
+			lines[name] = append(lines[name], plotter.XY{X: at, Y: v})
+			low, high = min(low, v), max(high, v)
+		}
+	}
+	if math.IsInf(low, 1) {
+		return p
+	}
+	low, high = low/1.3, high*1.5
+	mark(p, r, low, high)
+	for _, name := range []string{"p50", "p95", "p99"} {
+		line(p, name, lines[name], false)
+	}
+	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: 3}
+	p.Y.Min, p.Y.Max = low, high
+	return p
+}
+
+// grid is work done by worker over time.
+type grid struct {
+	r *experiment.Result
+}
+
+func (g grid) Dims() (c, r int)   { return len(g.r.Calls.Slots), len(g.r.Workers) }
+func (g grid) X(c int) float64    { return (float64(c) + 0.5) * g.r.Calls.Every }
+func (g grid) Y(r int) float64    { return float64(r) }
+func (g grid) Z(c, r int) float64 { return g.r.Workers[r].BySlot[c] }
+
+// work shows what each worker finished, a second: a crash is a hole, a cold return a pale stretch.
+func work(r *experiment.Result) *plot.Plot {
+	p := canvas(r, "Work finished by worker (darker: more a second)", "worker")
+	shades, err := brewer.GetPalette(brewer.TypeSequential, "Blues", 9)
+	g := grid{r}
+	if c, rows := g.Dims(); err != nil || c < 2 || rows < 2 {
+		return p
+	}
+	p.Add(plotter.NewHeatMap(g, shades))
+	mark(p, r, -0.5, float64(len(r.Workers))-0.5)
+	var ticks []plot.Tick
+	for n, w := range r.Workers {
+		t := plot.Tick{Value: float64(n)}
+		if every := (len(r.Workers) + 19) / 20; n%every == 0 {
+			t.Label = w.Name
+		}
+		ticks = append(ticks, t)
+	}
+	p.Y.Tick.Marker = plot.ConstantTicks(ticks)
+	p.Y.Min, p.Y.Max = -0.5, float64(len(r.Workers))-0.5
+	return p
+}
+
+// shares shows the whole work of each worker.
+func shares(r *experiment.Result) *plot.Plot {
+	p := plot.New()
+	p.Title.Text, p.Y.Label.Text = "Invocations finished by worker", "invocations"
+	values, names := plotter.Values{}, []string{}
+	for _, w := range r.Workers {
+		values, names = append(values, float64(w.Done)), append(names, w.Name)
+	}
+	if len(values) == 0 || slices.Max(values) == 0 {
+		return p
+	}
+	bars, err := plotter.NewBarChart(values, wide*0.7/vg.Length(len(values)))
+	if err != nil {
+		return p
+	}
+	bars.Color, bars.LineStyle.Width = colours["p50"], 0
+	p.Add(bars)
+	if len(names) <= 30 {
+		p.NominalX(names...)
+	}
+	p.Y.Min = 0
+	return p
+}
--- /dev/null
+++ b/internal/lab/report/page.go
@@ -0,0 +1,172 @@
+package report
+
+import (
+	"fmt"
+	"html/template"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"canvasroute/internal/lab/experiment"
+	"canvasroute/internal/lab/ledger"
+)
+
+// pageName is the page in a result's folder.
+const pageName = "report.html"
+
+// Write leaves a page with charts in a folder, and returns its path.
+func Write(r *experiment.Result, folder string) (string, error) {
+	data := struct {
+		*experiment.Result
+		Charts []template.HTML
+		Table  []Row
+		Rules  []Row
+	}{Result: r, Table: Figures(r), Rules: rules(r)}
+	for _, p := range []func() (template.HTML, error){
+		func() (template.HTML, error) { return svg(answers(r)) },
+		func() (template.HTML, error) { return svg(latency(r)) },
+		func() (template.HTML, error) { return svg(work(r)) },
+		func() (template.HTML, error) { return svg(shares(r)) },
+	} {
+		chart, err := p()
+		if err != nil {
+			return "", err
+		}
+		data.Charts = append(data.Charts, chart)
+	}
+	path := filepath.Join(folder, pageName)
+	file, err := os.Create(path)
+	if err != nil {
+		return "", err
+	}
+	if err := page.Execute(file, data); err != nil {
+		file.Close()
+		return "", fmt.Errorf("writing the report: %w", err)
+	}
+	return path, file.Close()
+}
+
+// Row is one line of a table.
+type Row struct {
+	Name  string
+	Value string
+	Bad   bool
+}
+
+// rules tell how each of the four stands.
+func rules(r *experiment.Result) (rows []Row) {
+	for _, rule := range ledger.Rules {
+		row := Row{Name: string(rule), Value: "kept"}
+		if n := r.Rules[string(rule)]; n > 0 {
+			row.Value, row.Bad = fmt.Sprintf("broken %d times", n), true
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// Figures are a run's main figures for people.
+func Figures(r *experiment.Result) []Row {
+	c := &r.Calls
+	share := func(n int64) string {
+		return fmt.Sprintf("%d (%.1f%%)", n, 100*float64(n)/float64(max(c.Total.Calls, 1)))
+	}
+	rows := []Row{{Name: "calls", Value: fmt.Sprintf("%d of %d planned", c.Total.Calls, r.Planned)}}
+	for _, kind := range ledger.Kinds {
+		if n := c.Total.Answers[kind]; n > 0 {
+			rows = append(rows, Row{Name: kind, Value: share(n), Bad: kind == "broken" || kind == "unsent"})
+		}
+	}
+	rows = append(rows,
+		Row{Name: "in time", Value: share(c.Total.InTime)},
+		Row{Name: "billed value", Value: fmt.Sprintf("%.1f%% of what was asked for", 100*c.Total.ValueShare)},
+		Row{Name: "latency p50 / p99 / max", Value: fmt.Sprintf("%s / %s / %s", millis(c.Succeeded.P50),
+			millis(c.Succeeded.P99), millis(c.Succeeded.Max))},
+		Row{Name: "tries a call", Value: fmt.Sprintf("%.2f", float64(c.Total.Tries)/float64(max(c.Total.Calls, 1)))},
+		Row{Name: "dispatchers' CPU", Value: fmt.Sprintf("%.2f s", cpu(r))},
+	)
+	g := Row{Name: "generator", Value: "kept to its schedule"}
+	if !c.Generator.Trusted {
+		g.Value, g.Bad = "NOT TO BE TRUSTED: "+c.Generator.Why, true
+	}
+	return append(rows, g)
+}
+
+func cpu(r *experiment.Result) (s float64) {
+	for _, d := range r.Dispatchers {
+		s += d.CPU
+	}
+	return s
+}
+
+func millis(v float64) string {
+	return time.Duration(v * float64(time.Millisecond)).Round(10 * time.Microsecond).String()
+}
+
+// Text is the table of a run for a terminal.
+func Text(r *experiment.Result) string {
+	var b strings.Builder
+	for _, row := range append(Figures(r), rules(r)...) {
+		flag := ""
+		if row.Bad {
+			flag = "  <--"
+		}
+		fmt.Fprintf(&b, "  %-28s %s%s\n", row.Name, row.Value, flag)
+	}
+	for n, br := range r.Breaches {
+		if n == 5 {
+			fmt.Fprintf(&b, "  ... %d more in %s\n", len(r.Breaches)-n, "result.json")
+			break
+		}
+		fmt.Fprintf(&b, "  broken: %s: invocation %s (%s), dispatcher %d, worker %d, at %.3f s: %s\n", br.Rule, br.ID,
+			br.Operation, br.Dispatcher, br.Worker, br.At.Seconds(), br.What)
+	}
+	for _, f := range r.Failures {
+		fmt.Fprintf(&b, "  failure: %s\n", f)
+	}
+	return b.String()
+}
+
+var page = template.Must(template.New("page").Funcs(template.FuncMap{
+	"s":   func(d time.Duration) string { return fmt.Sprintf("%.1f s", d.Seconds()) },
+	"pct": func(f float64) string { return fmt.Sprintf("%.1f%%", 100*f) },
+	"ms":  millis, "inc": func(n int) int { return n + 1 },
+}).Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>{{.Name}}, seed {{.Seed}}</title>
+<style>
+body{font:15px/1.45 system-ui,sans-serif;max-width:62rem;margin:2rem auto;padding:0 1rem;color:#222}
+table{border-collapse:collapse;margin:.6rem 0 1.4rem}td,th{padding:.2rem .9rem .2rem 0;text-align:left;
+border-bottom:1px solid #e4e4e4;font-variant-numeric:tabular-nums}td.n,th.n{text-align:right}
+.bad{color:#b3261e;font-weight:600}svg{max-width:100%;height:auto;margin:.4rem 0}.two{display:flex;gap:4rem;flex-wrap:wrap}
+.note{color:#666}
+</style></head><body>
+<h1>{{.Name}}</h1>
+<p>{{.Policy}}{{with .Fault}}, broken on purpose: {{.}}{{end}} &middot; seed {{.Seed}} &middot; {{.Began}} &middot;
+{{.Long}} s &middot; {{len .Dispatchers}} dispatchers, {{len .Workers}} workers, on {{.Cores}} cores
+{{if .Partial}}&middot; <span class="bad">partial: interrupted</span>{{end}}</p>
+<p class="note">Workers, list service, peer network and clients are stand-ins on loopback; the dispatchers are real
+processes.</p>
+<div class="two"><table>{{range .Table}}<tr><td>{{.Name}}</td><td{{if .Bad}} class="bad"{{end}}>{{.Value}}</td></tr>
+{{end}}</table>
+<table>{{range .Rules}}<tr><td>{{.Name}}</td><td{{if .Bad}} class="bad"{{end}}>{{.Value}}</td></tr>{{end}}</table></div>
+{{with .Troubles}}<h2>Troubles</h2><table>{{range $n, $m := .}}<tr><td>{{inc $n}}</td><td>{{s .From}} to {{s .To}}</td>
+<td>{{.What}}</td></tr>{{end}}</table>{{end}}
+{{range .Charts}}{{.}}
+{{end}}
+<h2>Operations</h2><table><tr><th>operation</th><th class="n">calls</th><th class="n">in time</th>
+<th class="n">billed value</th><th class="n">p50</th><th class="n">p99</th><th class="n">max</th></tr>
+{{range .Calls.Operations}}<tr><td>{{.Name}}</td><td class="n">{{.Calls}}</td><td class="n">{{.InTime}}</td>
+<td class="n">{{pct .ValueShare}}</td>{{with .Latency}}<td class="n">{{ms .P50}}</td><td class="n">{{ms .P99}}</td>
+<td class="n">{{ms .Max}}</td>{{end}}</tr>{{end}}</table>
+{{with .Calls.Customers}}<h2>Customers</h2><table><tr><th>customer</th><th class="n">calls</th><th class="n">in time</th>
+<th class="n">billed value</th></tr>{{range .}}<tr><td>{{.Name}}</td><td class="n">{{.Calls}}</td>
+<td class="n">{{.InTime}}</td><td class="n">{{pct .ValueShare}}</td></tr>{{end}}</table>{{end}}
+<h2>Dispatchers</h2><table><tr><th>name</th><th class="n">lives</th><th class="n">tries</th><th class="n">CPU</th></tr>
+{{range .Dispatchers}}<tr><td>{{.Name}}</td><td class="n">{{.Lives}}</td><td class="n">{{.Tries}}</td>
+<td class="n">{{printf "%.2f s" .CPU}}</td></tr>{{end}}</table>
+{{with .Breaches}}<h2 class="bad">Broken rules</h2><table>{{range .}}<tr><td>{{.Rule}}</td><td>{{.ID}}</td>
+<td>{{.Operation}}</td><td>{{s .At}}</td><td>{{.What}}</td></tr>{{end}}</table>{{end}}
+{{with .Failures}}<h2 class="bad">Failures</h2><ul>{{range .}}<li>{{.}}</li>{{end}}</ul>{{end}}
+</body></html>
+`))
--- /dev/null
+++ b/internal/lab/rival/rival.go
@@ -0,0 +1,370 @@
+// Package rival has the dispatchers that the lab compares with: plain policies as baselines, the standard
+// library's reverse proxy, and dispatchers that are broken on purpose, one for each rule, to show that the ledger
+// catches them. None of it is used outside the lab.
+package rival
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"canvasroute/decide"
+	"canvasroute/internal/program"
+	"canvasroute/internal/protocol"
+	"canvasroute/internal/routing"
+)
+
+// Policies are the baselines.
+var Policies = []string{"random", "round-robin", "least-outstanding", "reverse-proxy"}
+
+// Faults are the ways in which a dispatcher can be broken.
+var Faults = []string{"double-forward", "lost-answer", "drain-ignored", "cold-push"}
+
+// Terms say what a rival is.
+type Terms struct{ Policy, Fault string }
+
+// Bounds.
+const (
+	forwardsMost = 4
+	drainWithin  = 3 * time.Second
+	before       = 30 * time.Millisecond // the client's time is up, an answer leaves
+	loseEvery    = 20                    // answers, of one that is lost
+	comeBack     = "0.5"
+)
+
+// Main runs a rival on the platform's configuration, and returns the code that the process exits with.
+func Main(t Terms) int {
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	p, err := program.Read(os.Getenv)
+	if err == nil {
+		err = run(t, p, log)
+	}
+	if err != nil {
+		log.Error().Err(err).Msg("ended by a fault")
+		return 1
+	}
+	return 0
+}
+
+// backend is a worker as a rival knows it.
+type backend struct {
+	name, address string
+	state         string
+	born          time.Time
+	out           int
+}
+
+type rival struct {
+	terms     Terms
+	placement *program.Placement
+	client    *http.Client
+	transport *http.Transport
+	log       zerolog.Logger
+
+	mu       sync.Mutex
+	version  int64
+	backends []*backend
+	turn     int
+
+	answered, succeeded atomic.Int64
+}
+
+func run(t Terms, p *program.Placement, log zerolog.Logger) error {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Cores))))
+	transport := &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: p.Idle / 4, DisableCompression: true,
+		DialContext: (&net.Dialer{Timeout: p.Routing.DialWithin}).DialContext}
+	r := &rival{terms: t, placement: p, transport: transport, client: &http.Client{Transport: transport}, log: log}
+	if p.Routing.Known != nil {
+		r.take(p.Routing.Known)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/_health", r.health)
+	if t.Policy == "reverse-proxy" {
+		mux.Handle("/api", r.proxy())
+	} else {
+		mux.HandleFunc("POST /api", r.serve)
+	}
+	server := &http.Server{Addr: p.Listen, Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	watching, end := context.WithCancel(context.Background())
+	var watch sync.WaitGroup
+	watch.Go(func() { r.follow(watching) })
+	drained := make(chan error, 1)
+	go func() {
+		<-ctx.Done()
+		within, cancel := context.WithTimeout(context.Background(), drainWithin)
+		defer cancel()
+		drained <- server.Shutdown(within)
+	}()
+	err := server.ListenAndServe()
+	if errors.Is(err, http.ErrServerClosed) {
+		err = <-drained
+	}
+	end()
+	watch.Wait()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	log.Info().Str("why", "exit").Int64("taken", r.answered.Load()).Int64("succeeded", r.succeeded.Load()).
+		Uint64("mallocs", m.Mallocs).Uint64("alloc_bytes", m.TotalAlloc).Msg("counters")
+	return err
+}
+
+func (r *rival) health(w http.ResponseWriter, _ *http.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !slices.ContainsFunc(r.backends, func(b *backend) bool { return b.state == protocol.Ready }) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// follow watches the list until ctx ends.
+func (r *rival) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := r.watch(ctx); err != nil && ctx.Err() == nil {
+			r.log.Warn().Err(err).Msg("list watch lost")
+		}
+		select {
+		case <-time.After(500 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (r *rival) watch(ctx context.Context) error {
+	r.mu.Lock()
+	target := "http://" + r.placement.Routing.Discovery + protocol.WatchTarget(r.version)
+	r.mu.Unlock()
+	ask, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return err
+	}
+	a, err := r.client.Do(ask)
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		return fmt.Errorf("list: status %d", a.StatusCode)
+	}
+	lines := bufio.NewScanner(a.Body)
+	lines.Buffer(nil, 8<<20)
+	for lines.Scan() {
+		if len(bytes.TrimSpace(lines.Bytes())) == 0 {
+			continue
+		}
+		l, err := protocol.ParseList(lines.Bytes())
+		if err != nil {
+			return err
+		}
+		r.take(&l)
+	}
+	return lines.Err()
+}
+
+func (r *rival) take(l *protocol.List) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version = l.Version
+	seen := map[string]bool{}
+	for _, e := range l.Entries {
+		seen[e.ID] = true
+		n := slices.IndexFunc(r.backends, func(b *backend) bool { return b.name == e.ID })
+		if n < 0 {
+			n = len(r.backends)
+			r.backends = append(r.backends, &backend{name: e.ID})
+		}
+		b := r.backends[n]
+		if e.Address != "" {
+			b.address = e.Address
+		}
+		b.state = e.State
+		if e.BornMs > 0 {
+			b.born = time.UnixMilli(int64(e.BornMs))
+		}
+	}
+	for _, b := range r.backends {
+		if l.Whole && !seen[b.name] {
+			b.state = protocol.Gone
+		}
+	}
+}
+
+// choose picks a worker that is not among the tried ones, by the policy, and counts it as out.
+func (r *rival) choose(tried []*backend) *backend {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var able []*backend
+	for _, b := range r.backends {
+		if r.able(b) && !slices.Contains(tried, b) {
+			able = append(able, b)
+		}
+	}
+	if len(able) == 0 {
+		return nil
+	}
+	picked := able[0]
+	switch {
+	case r.terms.Fault == "cold-push": // all to the one that has just started
+		for _, b := range able {
+			if b.born.After(picked.born) {
+				picked = b
+			}
+		}
+	case r.terms.Policy == "random":
+		picked = able[rand.IntN(len(able))]
+	case r.terms.Policy == "least-outstanding":
+		r.turn++ // ties go round
+		for k := range able {
+			if b := able[(r.turn+k)%len(able)]; b.out < picked.out || k == 0 {
+				picked = b
+			}
+		}
+	default:
+		r.turn++
+		picked = able[r.turn%len(able)]
+	}
+	picked.out++
+	return picked
+}
+
+// able tells whether work may go to a worker. One fault takes drains for nothing.
+func (r *rival) able(b *backend) bool {
+	return b.state == protocol.Ready || r.terms.Fault == "drain-ignored" && b.state != ""
+}
+
+// serve carries one invocation through, by rules of thumb that keep the four rules where no fault is asked for.
+func (r *rival) serve(w http.ResponseWriter, ask *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(ask.Body, protocol.MostBody))
+	if err != nil {
+		return
+	}
+	operation := slices.IndexFunc(r.placement.Routing.Operations,
+		func(o routing.Operation) bool { return o.Name == ask.Header.Get("Req-Kind") })
+	if operation < 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	within, err := strconv.ParseFloat(ask.Header.Get("Req-Deadline"), 64)
+	if err != nil {
+		within = r.placement.Routing.Operations[operation].Timeout.Seconds()
+	}
+	ctx, cancel := context.WithTimeout(ask.Context(), time.Duration(within*float64(time.Second))-before)
+	defer cancel()
+	repeat := r.placement.Decisions.Operations[operation].Repeat
+	status, result := r.carry(ctx, ask, body, repeat)
+	n := r.answered.Add(1)
+	if r.terms.Fault == "lost-answer" && n%loseEvery == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	if status == http.StatusTooManyRequests {
+		w.Header().Set("Retry-After", comeBack)
+	}
+	if status == http.StatusOK {
+		r.succeeded.Add(1)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(result)))
+	w.WriteHeader(status)
+	io.WriteString(w, result)
+}
+
+func (r *rival) carry(ctx context.Context, ask *http.Request, body []byte, repeat decide.Repeat) (int, string) {
+	var tried []*backend
+	mayHaveRun := false
+	for range forwardsMost {
+		b := r.choose(tried)
+		if b == nil {
+			break
+		}
+		tried = append(tried, b)
+		how, result := r.forward(ctx, b, ask, body)
+		if r.terms.Fault == "double-forward" && repeat == decide.NonIdempotent {
+			if other := r.choose(tried); other != nil {
+				r.forward(ctx, other, ask, body)
+			}
+		}
+		switch how {
+		case decide.Succeeded:
+			return http.StatusOK, result
+		case decide.Full, decide.NoConnection: // it never ran
+			continue
+		}
+		mayHaveRun = true
+		if repeat != decide.Idempotent || ctx.Err() != nil {
+			break
+		}
+	}
+	if mayHaveRun && repeat != decide.Idempotent {
+		return http.StatusBadGateway, ""
+	}
+	return http.StatusTooManyRequests, ""
+}
+
+func (r *rival) forward(ctx context.Context, b *backend, ask *http.Request, body []byte) (decide.Outcome, string) {
+	defer func() {
+		r.mu.Lock()
+		b.out--
+		r.mu.Unlock()
+	}()
+	r.mu.Lock()
+	target := "http://" + b.address + "/api"
+	r.mu.Unlock()
+	out, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
+	if err != nil {
+		return decide.NoConnection, ""
+	}
+	out.GetBody = nil // nothing is sent again below these rules
+	for _, name := range []string{"Req-Id", "Req-Deadline", "Idempotency-Key", "Content-Type"} {
+		if v := ask.Header.Get(name); v != "" {
+			out.Header.Set(name, v)
+		}
+	}
+	a, err := r.client.Do(out)
+	var dial *net.OpError
+	switch {
+	case errors.As(err, &dial) && dial.Op == "dial":
+		return decide.NoConnection, ""
+	case err != nil:
+		return decide.Reset, ""
+	}
+	defer a.Body.Close()
+	if a.StatusCode == http.StatusServiceUnavailable && a.Header.Get("Srv-Declined") == "1" {
+		return decide.Full, ""
+	}
+	lines := bufio.NewScanner(a.Body)
+	lines.Buffer(nil, protocol.MostLine)
+	for lines.Scan() {
+		l, err := protocol.ParseLine(lines.Bytes())
+		if err != nil || l.ID != ask.Header.Get("Req-Id") {
+			return decide.WorkerError, ""
+		}
+		switch l.State {
+		case protocol.Done:
+			lines.Scan() // the end of the chunks, so that the connection can be used again
+			return decide.Succeeded, l.Result
+		case protocol.Returned:
+			return decide.Full, ""
+		case protocol.Failed, protocol.Lost:
+			return decide.WorkerError, ""
+		}
+	}
+	return decide.Reset, ""
+}
--- /dev/null
+++ b/internal/lab/trouble/timeline.go
@@ -0,0 +1,330 @@
+// Package trouble turns the troubles of an experiment file into a timeline of single actions. It does no I/O: the
+// workers and dispatchers that a trouble meets are drawn from the seed, and the lab carries the actions out.
+package trouble
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"canvasroute/internal/lab/load"
+	"canvasroute/internal/lab/unit"
+)
+
+// Spec is one trouble, in the words of an experiment file.
+type Spec struct {
+	Kind        string    `toml:"kind"`
+	At          unit.Span `toml:"at"`
+	For         unit.Span `toml:"for"`         // how long it lasts
+	Workers     int       `toml:"workers"`     // how many it meets
+	Dispatchers int       `toml:"dispatchers"` // how many it meets
+	Zone        string    `toml:"zone"`
+	Customer    string    `toml:"customer"`
+	Factor      float64   `toml:"factor"` // slow: times slower; burst, flood: times the usual load
+	Share       float64   `toml:"share"`  // neighbour: of the machine that is taken; peer-loss: of datagrams
+	Every       unit.Span `toml:"every"`  // neighbour: from one spell to the next
+	Width       unit.Span `toml:"width"`  // neighbour: how long a spell is
+	Lag         unit.Span `toml:"lag"`    // list-lag: how far behind the list runs
+	Gap         unit.Span `toml:"gap"`    // rolling-restart: between two dispatchers; drain: until it is back
+}
+
+// World is what troubles can meet.
+type World struct {
+	Workers     int
+	Zones       []string
+	ZoneOf      []int // by worker
+	Dispatchers int
+	Customers   []string
+	End         time.Duration
+}
+
+// Do is what is done.
+type Do uint8
+
+const (
+	WorkerCrash Do = iota + 1
+	WorkerReturn
+	WorkerPace // to Figure, as this trouble's part of it
+	WorkerPause
+	WorkerResume
+	WorkerSilent
+	WorkerSpeaks
+	WorkerCut
+	WorkerHeal
+	WorkerDrain
+	WorkerEnd // a drained one ends
+	WorkerAdd // Figure of them
+	ListLag   // to Span
+	ListLagEnds
+	ListAway
+	ListRefuses
+	ListFine
+	DispatcherKill
+	DispatcherStart
+	DispatcherStall
+	DispatcherGoOn
+	DispatcherRestart // planned: asked to end, then started again
+	PeersCut
+	PeersLose // Figure of the datagrams
+	PeersFine
+)
+
+// Action is one step of a trouble.
+type Action struct {
+	At      time.Duration
+	Do      Do
+	Targets []int // workers or dispatchers
+	Figure  float64
+	Span    time.Duration
+	Trouble int // which one it belongs to
+}
+
+// Mark is a trouble as reports show it.
+type Mark struct {
+	From time.Duration `json:"from_ns"`
+	To   time.Duration `json:"to_ns"`
+	What string        `json:"what"`
+}
+
+// Timeline is what all troubles come to.
+type Timeline struct {
+	Actions []Action
+	Extras  []load.Extra
+	Marks   []Mark
+}
+
+type planner struct {
+	world World
+	rng   *rand.Rand
+	spec  Spec
+	n     int
+	out   *Timeline
+}
+
+// kinds are what each trouble needs, and how it is planned.
+var kinds = map[string]struct {
+	needs []string
+	plan  func(*planner) string
+}{
+	"crash":       {[]string{"workers"}, (*planner).crash},
+	"slow":        {[]string{"workers", "factor", "for"}, (*planner).slow},
+	"pause":       {[]string{"workers", "for"}, span("%d workers stand still", WorkerPause, WorkerResume)},
+	"silence":     {[]string{"workers", "for"}, span("%d workers go silent", WorkerSilent, WorkerSpeaks)},
+	"neighbour":   {[]string{"workers", "share", "every", "width", "for"}, (*planner).neighbour},
+	"zone-cut":    {[]string{"zone", "for"}, (*planner).zoneCut},
+	"drain":       {[]string{"workers", "for"}, (*planner).drain},
+	"grow":        {[]string{"workers"}, (*planner).grow},
+	"burst":       {[]string{"factor", "for"}, (*planner).burst},
+	"flood":       {[]string{"customer", "factor", "for"}, (*planner).flood},
+	"list-lag":    {[]string{"lag", "for"}, (*planner).lag},
+	"list-outage": {[]string{"for"}, service("list service away", ListAway, ListFine)},
+	"list-503":    {[]string{"for"}, service("list service refuses", ListRefuses, ListFine)},
+	"peer-cut":    {[]string{"for"}, service("peers cut off", PeersCut, PeersFine)},
+	"peer-loss":   {[]string{"share", "for"}, service("peers lose datagrams", PeersLose, PeersFine)},
+	"dispatcher-kill": {[]string{"dispatchers"},
+		some("%d dispatchers killed", DispatcherKill, DispatcherStart)},
+	"dispatcher-stall": {[]string{"dispatchers", "for"},
+		some("%d dispatchers stand still", DispatcherStall, DispatcherGoOn)},
+	"rolling-restart": {nil, (*planner).rolling},
+}
+
+// Plan makes the timeline. The error names the trouble and the key.
+func Plan(specs []Spec, w World, seed uint64) (*Timeline, error) {
+	out := &Timeline{}
+	for n, s := range specs {
+		k, known := kinds[s.Kind]
+		if !known {
+			names := make([]string, 0, len(kinds))
+			for name := range kinds {
+				names = append(names, name)
+			}
+			sort.Strings(names)
+			return nil, fmt.Errorf("trouble[%d].kind: %q, must be one of %s", n, s.Kind, strings.Join(names, ", "))
+		}
+		for _, key := range k.needs {
+			if err := s.needs(key, w); err != nil {
+				return nil, fmt.Errorf("trouble[%d].%w", n, err)
+			}
+		}
+		p := &planner{world: w, rng: unit.Chance(seed, fmt.Sprint("trouble ", n)), spec: s, n: n, out: out}
+		what := k.plan(p)
+		out.Marks = append(out.Marks, Mark{s.At.D(), s.At.D() + s.For.D(), what})
+	}
+	slices.SortStableFunc(out.Actions, func(a, b Action) int { return int(a.At - b.At) })
+	return out, nil
+}
+
+func (s Spec) needs(key string, w World) error {
+	wrong := func(format string, args ...any) error { return fmt.Errorf(key+": "+format, args...) }
+	switch key {
+	case "for", "every", "width", "lag":
+		span := map[string]unit.Span{"for": s.For, "every": s.Every, "width": s.Width, "lag": s.Lag}[key]
+		if span <= 0 {
+			return wrong("must be more than nothing for %s", s.Kind)
+		}
+		if key == "every" && s.Every <= s.Width {
+			return wrong("must be longer than width")
+		}
+	case "workers":
+		if most := w.Workers; s.Workers < 1 || s.Workers > most && s.Kind != "grow" {
+			return wrong("%d, must be from 1 to %d", s.Workers, most)
+		}
+	case "dispatchers":
+		if s.Dispatchers < 1 || s.Dispatchers > w.Dispatchers {
+			return wrong("%d, must be from 1 to %d", s.Dispatchers, w.Dispatchers)
+		}
+	case "factor":
+		if !(s.Factor > 1) {
+			return wrong("%v, must be more than 1", s.Factor)
+		}
+	case "share":
+		if !(s.Share > 0 && s.Share < 1) {
+			return wrong("%v, must be between 0 and 1", s.Share)
+		}
+	case "zone":
+		if !slices.Contains(w.Zones, s.Zone) {
+			return wrong("%q is none of %s", s.Zone, strings.Join(w.Zones, ", "))
+		}
+	case "customer":
+		if !slices.Contains(w.Customers, s.Customer) {
+			return wrong("%q is none of the experiment's", s.Customer)
+		}
+	}
+	return nil
+}
+
+func (p *planner) do(at time.Duration, do Do, targets []int, figure float64) {
+	p.out.Actions = append(p.out.Actions,
+		Action{At: at, Do: do, Targets: targets, Figure: figure, Trouble: p.n, Span: p.spec.Lag.D()})
+}
+
+func (p *planner) from() time.Duration { return p.spec.At.D() }
+func (p *planner) to() time.Duration   { return p.spec.At.D() + p.spec.For.D() }
+
+// drawn picks some of a number.
+func (p *planner) drawn(some, of int) []int {
+	picked := p.rng.Perm(of)[:some]
+	slices.Sort(picked)
+	return picked
+}
+
+func (p *planner) workers() []int { return p.drawn(p.spec.Workers, p.world.Workers) }
+
+func (p *planner) crash() string {
+	targets := p.workers()
+	p.do(p.from(), WorkerCrash, targets, 0)
+	if p.spec.For > 0 {
+		p.do(p.to(), WorkerReturn, targets, 0)
+	}
+	return fmt.Sprintf("%d workers crash", p.spec.Workers)
+}
+
+func (p *planner) slow() string {
+	targets := p.workers()
+	p.do(p.from(), WorkerPace, targets, 1/p.spec.Factor)
+	p.do(p.to(), WorkerPace, targets, 1)
+	return fmt.Sprintf("%d workers %v times slower", p.spec.Workers, p.spec.Factor)
+}
+
+func (p *planner) neighbour() string {
+	targets := p.workers()
+	for at := p.from(); at < p.to(); at += p.spec.Every.D() {
+		p.do(at, WorkerPace, targets, 1-p.spec.Share)
+		p.do(min(at+p.spec.Width.D(), p.to()), WorkerPace, targets, 1)
+	}
+	return fmt.Sprintf("%d workers share their machines", p.spec.Workers)
+}
+
+func (p *planner) zoneCut() string {
+	var targets []int
+	zone := slices.Index(p.world.Zones, p.spec.Zone)
+	for w, z := range p.world.ZoneOf {
+		if z == zone {
+			targets = append(targets, w)
+		}
+	}
+	p.do(p.from(), WorkerCut, targets, 0)
+	p.do(p.to(), WorkerHeal, targets, 0)
+	return "zone " + p.spec.Zone + " cut off"
+}
+
+func (p *planner) drain() string {
+	targets := p.workers()
+	p.do(p.from(), WorkerDrain, targets, 0)
+	p.do(p.to(), WorkerEnd, targets, 0)
+	if p.spec.Gap > 0 {
+		p.do(p.to()+p.spec.Gap.D(), WorkerReturn, targets, 0)
+	}
+	return fmt.Sprintf("%d workers drain", p.spec.Workers)
+}
+
+func (p *planner) grow() string {
+	p.do(p.from(), WorkerAdd, nil, float64(p.spec.Workers))
+	return fmt.Sprintf("%d workers more", p.spec.Workers)
+}
+
+func (p *planner) burst() string {
+	p.out.Extras = append(p.out.Extras, load.Extra{From: p.from(), To: p.to(), Factor: p.spec.Factor - 1,
+		Customer: -1})
+	return fmt.Sprintf("burst: %v times the load", p.spec.Factor)
+}
+
+func (p *planner) flood() string {
+	p.out.Extras = append(p.out.Extras, load.Extra{From: p.from(), To: p.to(), Factor: p.spec.Factor - 1,
+		Customer: slices.Index(p.world.Customers, p.spec.Customer)})
+	return fmt.Sprintf("%s sends %v times its share", p.spec.Customer, p.spec.Factor)
+}
+
+func (p *planner) lag() string {
+	p.do(p.from(), ListLag, nil, 0)
+	p.do(p.to(), ListLagEnds, nil, 0)
+	return fmt.Sprintf("list %v behind", p.spec.Lag.D())
+}
+
+// usualGap is between the restarts of two dispatchers.
+const usualGap = 2 * time.Second
+
+func (p *planner) rolling() string {
+	gap := p.spec.Gap.D()
+	if gap <= 0 {
+		gap = usualGap
+	}
+	for d := range p.world.Dispatchers {
+		p.do(p.from()+time.Duration(d)*gap, DispatcherRestart, []int{d}, 0)
+	}
+	return "dispatchers restarted in turn"
+}
+
+// span plans a state of some workers that begins and ends.
+func span(what string, begin, end Do) func(*planner) string {
+	return func(p *planner) string {
+		targets := p.workers()
+		p.do(p.from(), begin, targets, 0)
+		p.do(p.to(), end, targets, 0)
+		return fmt.Sprintf(what, p.spec.Workers)
+	}
+}
+
+// some plans a state of some dispatchers; one without an end lasts.
+func some(what string, begin, end Do) func(*planner) string {
+	return func(p *planner) string {
+		targets := p.drawn(p.spec.Dispatchers, p.world.Dispatchers)
+		p.do(p.from(), begin, targets, 0)
+		if p.spec.For > 0 {
+			p.do(p.to(), end, targets, 0)
+		}
+		return fmt.Sprintf(what, p.spec.Dispatchers)
+	}
+}
+
+// service plans a state of what all share.
+func service(what string, begin, end Do) func(*planner) string {
+	return func(p *planner) string {
+		p.do(p.from(), begin, nil, p.spec.Share)
+		p.do(p.to(), end, nil, 0)
+		return what
+	}
+}
--- a/internal/lab/worker/exchange.go
+++ b/internal/lab/worker/exchange.go
@@ -146,6 +146,11 @@
 
 // stream writes an exchange's lines as chunks until the last one, or until the dispatcher gives it up.
 func (s *Server) stream(c *wire, id string, e *exchange, life *life) bool {
+	defer func() { // a process that ended with the last line unwritten: the first end of a forward counts
+		if !life.gate() {
+			s.fleet.ledger.Over(e.forward, ledger.Crashed, "", s.fleet.clock())
+		}
+	}()
 	c.watch()
 	next := c.next
 	out := append(make([]byte, 0, 512), head...)
--- a/internal/lab/worker/server.go
+++ b/internal/lab/worker/server.go
@@ -61,6 +61,7 @@
 	mu        sync.Mutex
 	life      *life // nil while it is down
 	lives     int
+	born      time.Duration
 	addresses []string // by dispatcher
 	pace      float64
 	silent    bool
@@ -147,6 +148,9 @@
 		l.lns = append(l.lns, ln)
 	}
 	s.life, s.lives = l, s.lives+1
+	if s.born = s.fleet.clock(); warm {
+		s.born = 0
+	}
 	for d, ln := range l.lns {
 		s.fleet.running.Go(func() { s.take(ln, d, l) })
 	}
@@ -409,6 +413,18 @@
 	return append([]string(nil), s.addresses...)
 }
 
+// Site is its name and kind, and the numbers of its zone and cell.
+func (s *Server) Site() (name, kind string, zone, cell int) {
+	return s.name, s.kind.Name, s.zone, s.cell
+}
+
+// Born is when its process, or the last one, started, from the experiment's start; 0 for long ago.
+func (s *Server) Born() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.born
+}
+
 // Up tells whether its process runs.
 func (s *Server) Up() bool {
 	s.mu.Lock()
--- a/internal/routing/counts.go
+++ b/internal/routing/counts.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"runtime"
 	"sync/atomic"
 
 	"github.com/rs/zerolog"
@@ -29,6 +30,8 @@
 // Print leaves the counters in one log line.
 func (r *Router) Print(why string) {
 	c, forwards, datagrams := &r.counts, zerolog.Dict(), zerolog.Dict()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
 	forwards.Int64("sent", c.Sent.Load())
 	for how, name := range outcomeNames {
 		if name != "" {
@@ -43,5 +46,6 @@
 		Int64("errored", c.Errored.Load()).Int64("client_left", c.Left.Load()).
 		Int64("turned_away", c.Malformed.Load()).Int64("overfull", c.Overfull.Load()).
 		Dict("forwards", forwards).Int64("probes", c.Probes.Load()).Int64("lists", c.Lists.Load()).
-		Int64("watches_lost", c.WatchesLost.Load()).Dict("datagrams", datagrams).Msg("counters")
+		Int64("watches_lost", c.WatchesLost.Load()).Dict("datagrams", datagrams).
+		Uint64("mallocs", memory.Mallocs).Uint64("alloc_bytes", memory.TotalAlloc).Msg("counters")
 }
