--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -196,3 +196,15 @@
 	defer l.mu.Unlock()
 	return l.falls
 }
+
+// Ends tells how the forwards of an invocation stand, in the order in which they came.
+func (l *Ledger) Ends(id string) (ends []End) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t := l.byID[id]; t != nil {
+		for _, f := range t.Forwards {
+			ends = append(ends, f.End)
+		}
+	}
+	return ends
+}
--- /dev/null
+++ b/internal/lab/load/load_test.go
@@ -0,0 +1,174 @@
+package load
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"canvasroute/internal/lab/unit"
+)
+
+const sec = time.Second
+
+func span(d time.Duration) unit.Span { return unit.Span(d) }
+
+func somePlan(t *testing.T, phases ...Phase) *Plan {
+	segments, err := Segments(phases)
+	assert.NoError(t, err)
+	return &Plan{Segments: segments, Operations: []Operation{
+		{Name: "status", Work: span(sec / 10), Tail: "exponential", Share: 3, HintError: 0.5},
+		{Name: "choices", Work: span(sec / 5), Tail: "pareto", Spread: 1.5, Share: 1, HintError: -1},
+	}, Customers: []Customer{{Name: "uni", Share: 1}, {Name: "polit", Share: 3}}}
+}
+
+func TestSameSeedGivesTheSameScheduleToTheByte(t *testing.T) {
+	p := somePlan(t, Phase{Shape: "poisson", Rate: 200, For: span(5 * sec)})
+	assert.Equal(t, Bytes(p.Make(7)), Bytes(p.Make(7)))
+	assert.NotEqual(t, Bytes(p.Make(7)), Bytes(p.Make(8)))
+}
+
+// Guards against an extra that shifts the draws of all the rest: two plans could then not be compared.
+func TestExtraLoadLeavesTheRestAsItWas(t *testing.T) {
+	p := somePlan(t, Phase{Shape: "poisson", Rate: 200, For: span(5 * sec)})
+	plain := p.Make(7)
+	p.Extras = []Extra{{From: 2 * sec, To: 3 * sec, Factor: 4, Customer: 1}}
+	with, n, extra := p.Make(7), 0, 0
+	for _, a := range with {
+		if n < len(plain) && a == plain[n] {
+			n++
+			continue
+		}
+		extra++
+		assert.True(t, a.At >= 2*sec && a.At < 3*sec && a.Customer == 1, a)
+	}
+	assert.Len(t, plain, n)
+	assert.InDelta(t, 200*4*0.75, extra, 100, "four times the customer's three quarters of 200")
+}
+
+func TestShapesGiveTheRatesThatTheyName(t *testing.T) {
+	count := func(p Phase, from, to time.Duration) (n int) {
+		p.Even = true
+		for _, a := range somePlan(t, p).Make(1) {
+			if a.At >= from && a.At < to {
+				n++
+			}
+		}
+		return n
+	}
+	ramp := Phase{Shape: "ramp", Rate: 0, To: 100, For: span(10 * sec)}
+	assert.InDelta(t, 125, count(ramp, 0, 5*sec), 1, "a quarter of the area under the line")
+	assert.InDelta(t, 500, count(ramp, 0, 10*sec), 1)
+	step := Phase{Shape: "step", Rate: 10, To: 30, Steps: 3, For: span(9 * sec)}
+	assert.InDelta(t, 60, count(step, 3*sec, 6*sec), 1)
+	burst := Phase{Shape: "burst", Rate: 10, To: 200, Every: span(4 * sec), Width: span(sec), For: span(8 * sec)}
+	assert.InDelta(t, 200, count(burst, 3*sec, 4*sec), 1)
+	assert.InDelta(t, 30, count(burst, 4*sec, 7*sec), 1)
+	even := somePlan(t, Phase{Shape: "constant", Rate: 100, For: span(sec)}).Make(1)
+	assert.Equal(t, []time.Duration{5 * time.Millisecond, 15 * time.Millisecond},
+		[]time.Duration{even[0].At, even[1].At})
+}
+
+func TestPoissonArrivalsHaveTheSpreadOfChance(t *testing.T) {
+	at := somePlan(t, Phase{Shape: "poisson", Rate: 1000, For: span(20 * sec)}).Make(3)
+	assert.InDelta(t, 20000, len(at), 500)
+	mean, square := 0.0, 0.0
+	for n := 1; n < len(at); n++ {
+		gap := (at[n].At - at[n-1].At).Seconds()
+		mean, square = mean+gap, square+gap*gap
+	}
+	mean, square = mean/float64(len(at)), square/float64(len(at))
+	assert.InDelta(t, 2, square/(mean*mean), 0.1, "of exponential gaps, twice the mean squared")
+}
+
+func TestTailsKeepTheirMeanAndHintsTheirError(t *testing.T) {
+	rng := unit.Chance(1, "test")
+	for _, o := range []Operation{{Tail: "constant"}, {Tail: "exponential"}, {Tail: "lognormal", Spread: 1},
+		{Tail: "pareto", Spread: 2.5}} {
+		o.Work = span(sec)
+		sum := 0.0
+		for range 50000 {
+			sum += o.draw(rng).Seconds() / 50000
+		}
+		assert.InDelta(t, 1, sum, 0.05, o.Tail)
+	}
+	assert.Zero(t, (&Operation{HintError: -1}).hint(sec, rng))
+	assert.Equal(t, sec, (&Operation{}).hint(sec, rng))
+}
+
+func TestFaultsInPhasesAndOperationsAreNamed(t *testing.T) {
+	for want, p := range map[string]Phase{
+		"load.phase[0].shape": {Shape: "square", For: 1},
+		"load.phase[0].for":   {Shape: "poisson"},
+		"load.phase[0].rate":  {Shape: "poisson", For: 1, Rate: -1},
+		"load.phase[0].steps": {Shape: "step", For: 1, Steps: 1},
+		"load.phase[0].every": {Shape: "burst", For: 9, Every: 1, Width: 1},
+	} {
+		_, err := Segments([]Phase{p})
+		assert.ErrorContains(t, err, want)
+	}
+	good := Operation{Name: "a", Repeat: Idempotent, Work: 1, Objective: 1, Timeout: 2, Share: 1, Tail: "constant"}
+	assert.NoError(t, good.Check())
+	for want, change := range map[string]func(*Operation){
+		"repeat:": func(o *Operation) { o.Repeat = "sometimes" }, "timeout:": func(o *Operation) { o.Timeout = 0 },
+		"dedup-window:": func(o *Operation) { o.Repeat = Deduplicated },
+		"spread:":       func(o *Operation) { o.Tail, o.Spread = "pareto", 1 },
+		"tail:":         func(o *Operation) { o.Tail = "long" }, "share:": func(o *Operation) { o.Share = 0 },
+	} {
+		o := good
+		change(&o)
+		assert.ErrorContains(t, o.Check(), want)
+	}
+}
+
+func trace(t *testing.T, name, text string) ([]Arrival, error) {
+	return somePlan(t).Trace(name, strings.NewReader(text), 1)
+}
+
+func TestTracesAreReadAlike(t *testing.T) {
+	table, err := trace(t, "t.CSV", "operation,time,key,customer,hint,retry\nstatus,0.5,k,uni,0.25,\n"+
+		"choices,0.75,k,polit,,true\n")
+	assert.NoError(t, err)
+	lines, err := trace(t, "t.jsonl", `{"time":0.5,"operation":"status","key":"k","customer":"uni","hint":0.25}`+
+		"\n\n"+`{"time":0.75,"operation":"choices","key":"k","customer":"polit","retry":true}`+"\n")
+	assert.NoError(t, err)
+	assert.Equal(t, Bytes(table), Bytes(lines))
+	assert.Equal(t, []any{sec / 2, 250 * time.Millisecond, table[1].Key, true, 200 * time.Millisecond},
+		[]any{table[0].At, table[0].Hint, table[0].Key, table[1].Retry, table[1].Work})
+}
+
+func TestBrokenTracesAreRefusedWithFileAndLine(t *testing.T) {
+	head := "time,operation,customer\n0.1,status,uni\n"
+	for text, want := range map[string]string{
+		head + "0.05,status,uni\n":   "t.csv:3: time: 0.05 comes after 0.1",
+		head + "0.2,dance,uni\n":     `t.csv:3: operation: "dance" is none`,
+		head + "0.2,status,nobody\n": `t.csv:3: customer: "nobody" is none`,
+		head + "0.2,status\n":        "t.csv:3: wrong number of fields",
+		head + "soon,status,uni\n":   `t.csv:3: time: "soon" is not a figure`,
+		head + ",status,uni\n":       "t.csv:3: time: must be seconds",
+		head + "NaN,status,uni\n":    "t.csv:3: time: must be seconds",
+		head + "\"0.2,status,uni\n":  "t.csv:",
+		"time,colour\n":              `t.csv:1: column "colour"`,
+		"time\n":                     `t.csv:1: there is no column "operation"`,
+		"":                           "t.csv:1: no first line",
+		"time,operation\n":           "t.csv: holds no arrival",
+		"time,operation,customer,hint\n1,status,uni,-3\n": "t.csv:2: hint, work",
+		"time,operation,retry\n1,status,yes\n":            `t.csv:2: retry: "yes"`,
+	} {
+		_, err := trace(t, "t.csv", text)
+		assert.ErrorContains(t, err, want)
+	}
+	good := `{"time":1,"operation":"status","customer":"uni"}` + "\n"
+	for text, want := range map[string]string{
+		good + `{"time":2,`:                           "t.jsonl:2: not an arrival",
+		good + `{"time":2,"opera":"x"}`:               `t.jsonl:2: not an arrival: json: unknown field "opera"`,
+		good + strings.TrimSpace(good)[1:]:            "t.jsonl:2: not an arrival",
+		good + strings.TrimSpace(good) + " {}":        "t.jsonl:2: more than one object",
+		good + `{"operation":"status"}`:               "t.jsonl:2: time: must be seconds",
+		good + strings.Replace(good, ":1,", ":0,", 1): "t.jsonl:2: time: 0 comes after 1",
+	} {
+		_, err := trace(t, "t.jsonl", text)
+		assert.ErrorContains(t, err, want)
+	}
+}
--- /dev/null
+++ b/internal/lab/peernet/peernet_test.go
@@ -0,0 +1,73 @@
+package peernet
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestDatagramsComeFromTheAddressThatStandsForTheirSender(t *testing.T) {
+	var socks []*net.UDPConn
+	var own []netip.AddrPort
+	for range 2 {
+		pc, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		assert.NoError(t, err)
+		defer pc.Close()
+		socks, own = append(socks, pc), append(own, pc.LocalAddr().(*net.UDPAddr).AddrPort())
+	}
+	n, err := New(own, Manner{Delay: 20 * time.Millisecond}, 1)
+	assert.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- n.Run(ctx) }()
+	assert.Equal(t, own[0], n.View(0)[0])
+	send := func(text string) time.Time {
+		_, err := socks[0].WriteToUDPAddrPort([]byte(text), n.View(0)[1])
+		assert.NoError(t, err)
+		return time.Now()
+	}
+	heard := func(within time.Duration) (string, netip.AddrPort) {
+		b := make([]byte, 512)
+		socks[1].SetReadDeadline(time.Now().Add(within))
+		got, from, err := socks[1].ReadFromUDPAddrPort(b)
+		if err != nil {
+			return "", from
+		}
+		return string(b[:got]), netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+	}
+	sent := send("hello")
+	text, from := heard(2 * time.Second)
+	assert.Equal(t, "hello", text)
+	assert.Equal(t, n.View(1)[0], from)
+	assert.GreaterOrEqual(t, time.Since(sent), 19*time.Millisecond)
+	send(string(make([]byte, mostDatagram+1)))
+	n.Set(Manner{Cut: true})
+	send("cut")
+	time.Sleep(50 * time.Millisecond) // it has been read and discarded before the net heals
+	n.Set(Manner{})
+	send("healed")
+	text, _ = heard(2 * time.Second)
+	assert.Equal(t, "healed", text)
+	cancel()
+	assert.NoError(t, <-done)
+	assert.Equal(t, []int{2, 2}, []int{n.Carried, n.Discarded})
+}
+
+func TestLossIsDrawnFromTheSeed(t *testing.T) {
+	fates := func(seed uint64) (out []bool) {
+		n, err := New(nil, Manner{Loss: 0.5}, seed)
+		assert.NoError(t, err)
+		for range 64 {
+			_, arrives := n.fate(10)
+			out = append(out, arrives)
+		}
+		return out
+	}
+	assert.Equal(t, fates(3), fates(3))
+	assert.NotEqual(t, fates(3), fates(4))
+	assert.Contains(t, fates(3), false)
+}
--- /dev/null
+++ b/internal/lab/sender/sender_test.go
@@ -0,0 +1,207 @@
+package sender
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"canvasroute/internal/lab/ledger"
+	"canvasroute/internal/lab/load"
+	"canvasroute/internal/lab/measure"
+	"canvasroute/internal/lab/unit"
+)
+
+const ms = time.Millisecond
+
+// senderTo plays against one dispatcher's address.
+func senderTo(address string, operations ...load.Operation) *Sender {
+	began := time.Now()
+	if len(operations) == 0 {
+		operations = []load.Operation{{Name: "status", Objective: unit.Span(time.Second),
+			Timeout: unit.Span(10 * time.Second), Value: 1}}
+	}
+	return &Sender{Operations: operations, Seed: 1, MostOpen: 10000, Wait: 5 * ms, Ledger: ledger.New(),
+		Front: NewFront([]string{address}, time.Second), Recorder: measure.New(time.Second, len(operations), 0),
+		Clock: func() time.Duration { return time.Since(began) }}
+}
+
+func (s *Sender) summary() measure.Summary {
+	names := []string{}
+	for _, o := range s.Operations {
+		names = append(names, o.Name)
+	}
+	return s.Recorder.Summary(names, nil)
+}
+
+func every(gap, long time.Duration) (schedule []load.Arrival) {
+	for at := time.Duration(0); at < long; at += gap {
+		schedule = append(schedule, load.Arrival{At: at, Work: ms})
+	}
+	return schedule
+}
+
+// Guards against coordinated omission: a server that stands still from 0.5 s to 1.5 s must cost each of the 200
+// calls that were due meanwhile the rest of that time. By hand: of 400 calls in 2 s, 5 ms apart, call k of the
+// pause waits 1000 - 5k ms; p99 is the 396th, which leaves four above it, so 980 ms; p90 the 360th, so 800 ms;
+// p50 the 200th, the last one that did not wait.
+func TestLatencyCountsFromTheIntendedTimeThroughAPause(t *testing.T) {
+	began := time.Now()
+	var from, to = began.Add(500 * ms), began.Add(1500 * ms)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if now := time.Now(); now.After(from) && now.Before(to) {
+			time.Sleep(time.Until(to))
+		}
+	}))
+	defer server.Close()
+	s := senderTo(strings.TrimPrefix(server.URL, "http://"))
+	s.Clock = func() time.Duration { return time.Since(began) }
+	s.Run(context.Background(), every(5*ms, 2*time.Second))
+	got := s.summary()
+	assert.EqualValues(t, 400, got.All.Count)
+	assert.InDelta(t, 980, got.All.P99, 25)
+	assert.InDelta(t, 800, got.All.P90, 25)
+	assert.Less(t, got.All.P50, 60.0)
+	assert.InDelta(t, 1000, got.All.Max, 25)
+	assert.EqualValues(t, 400, got.Total.Answers["succeeded"])
+}
+
+// Guards against a backlog that is hidden: a dispatcher whose process stands still is still sent to, and what it
+// does not answer is counted, each with its whole wait.
+func TestStalledDispatcherIsStillSentTo(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // nobody ever accepts: the kernel does
+	assert.NoError(t, err)
+	defer ln.Close()
+	s := senderTo(ln.Addr().String(), load.Operation{Name: "status", Objective: 1,
+		Timeout: unit.Span(300 * ms)})
+	s.Run(context.Background(), every(2*ms, 400*ms))
+	got := s.summary()
+	assert.EqualValues(t, 200, got.Total.Answers["unanswered"])
+	assert.True(t, got.Generator.Trusted, got.Generator.Why)
+	assert.InDelta(t, 300, got.All.P50, 25)
+	assert.Len(t, s.Ledger.Judge(ledger.Terms{Operations: []ledger.Repeat{{}}}), 200, "each one is lost")
+}
+
+func TestGeneratorThatMayNotKeepUpSaysSo(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(50 * ms) }))
+	defer server.Close()
+	s := senderTo(strings.TrimPrefix(server.URL, "http://"))
+	s.MostOpen = 2
+	s.Run(context.Background(), every(ms, 100*ms))
+	got := s.summary()
+	assert.False(t, got.Generator.Trusted)
+	assert.Positive(t, got.Generator.Unsent)
+	assert.EqualValues(t, 100, got.Total.Calls, "none is left out")
+	late := measure.New(time.Second, 1, 0)
+	late.Record(measure.Call{Kind: ledger.Succeeded, Sent: 20 * ms, Ended: 21 * ms})
+	sum := late.Summary([]string{"status"}, nil)
+	assert.Equal(t, "1 of 1 calls were sent more than 10ms late", sum.Generator.Why)
+}
+
+func TestClientsRetryWhatTheOperationAllows(t *testing.T) {
+	answers := map[string][]int{"safe": {502, 200}, "once": {502, 200}, "sent-away": {503, 503, 200}}
+	asked, keys := map[string]*atomic.Int32{}, make(chan string, 10)
+	for name := range answers {
+		asked[name] = &atomic.Int32{}
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		name := r.Header.Get("Req-Kind")
+		n := int(asked[name].Add(1)) - 1
+		assert.Equal(t, n > 0, r.Header.Get("Req-Retry") == "1")
+		if keys <- r.Header.Get("Idempotency-Key"); answers[name][n] == 503 {
+			w.Header().Set("Retry-After", "0.05")
+		}
+		w.WriteHeader(answers[name][n])
+	}))
+	defer server.Close()
+	var operations []load.Operation
+	for _, o := range []load.Operation{{Name: "safe", Repeat: load.Idempotent}, {Name: "once",
+		Repeat: load.NonIdempotent}, {Name: "sent-away", Repeat: load.Deduplicated}} {
+		o.Objective, o.Timeout = unit.Span(time.Second), unit.Span(time.Second)
+		operations = append(operations, o)
+	}
+	s := senderTo(strings.TrimPrefix(server.URL, "http://"), operations...)
+	s.Retries = 2
+	s.Run(context.Background(), []load.Arrival{{Operation: 0}, {Operation: 1}, {Operation: 2, Key: 9}})
+	got := s.summary()
+	assert.Equal(t, map[string]int64{"succeeded": 2, "errored": 1}, got.Total.Answers)
+	assert.EqualValues(t, 1, asked["once"].Load(), "what may have run is not sent again")
+	assert.GreaterOrEqual(t, got.Operations[2].Latency.Max, 100.0, "it came back when it was told to, twice")
+	close(keys)
+	seen := map[string]int{}
+	for k := range keys {
+		seen[k]++
+	}
+	assert.Equal(t, map[string]int{"": 3, "0000000000000009": 3}, seen, "retries carry the first try's key")
+}
+
+func TestConnectionThatEndsBetweenMessagesIsTriedOnceMore(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	defer ln.Close()
+	go func() {
+		for n := 0; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			c.Read(make([]byte, 1024))
+			if n < 2 { // one answer, then the end as the next message comes; a third connection ends at once
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				c.Read(make([]byte, 1024))
+			}
+			c.Close()
+		}
+	}()
+	s := senderTo(ln.Addr().String())
+	s.Run(context.Background(), every(100*ms, 400*ms))
+	assert.Equal(t, map[string]int64{"succeeded": 2, "broken": 2}, s.summary().Total.Answers,
+		"first; second on a new connection; third on a new one that ends; fourth on another that ends")
+}
+
+func TestInterruptEndsOpenCallsAtOnce(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	defer ln.Close()
+	s := senderTo(ln.Addr().String())
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(100*ms, cancel)
+	began := time.Now()
+	s.Run(ctx, every(10*ms, time.Minute))
+	assert.Less(t, time.Since(began), 2*time.Second)
+	got := s.summary()
+	assert.Equal(t, got.Total.Calls, got.Total.Answers["interrupted"])
+	assert.Positive(t, got.Total.Calls)
+	assert.Empty(t, s.Ledger.Judge(ledger.Terms{Operations: []ledger.Repeat{{}}}), "that is nobody's fault")
+}
+
+func TestFrontNoticesADeathLateAndAReturnAtOnce(t *testing.T) {
+	var good atomic.Bool
+	good.Store(true)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !good.Load() {
+			w.WriteHeader(503)
+		}
+	}))
+	defer server.Close()
+	f := NewFront([]string{strings.TrimPrefix(server.URL, "http://")}, 400*ms)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- f.Run(ctx) }()
+	assert.Eventually(t, f.Ready, 5*time.Second, ms)
+	died := time.Now()
+	good.Store(false)
+	assert.Eventually(t, func() bool { return !f.Ready() }, 5*time.Second, ms)
+	assert.GreaterOrEqual(t, time.Since(died), 300*ms)
+	good.Store(true)
+	assert.Eventually(t, f.Ready, 5*time.Second, ms)
+	cancel()
+	assert.NoError(t, <-done)
+}
--- /dev/null
+++ b/internal/lab/worker/server_test.go
@@ -0,0 +1,233 @@
+package worker
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"canvasroute/internal/lab/ledger"
+)
+
+// oneWorker is a worker of two cores and a queue of one, before one dispatcher.
+func oneWorker(t *testing.T, terms Terms) (*Server, *ledger.Ledger) {
+	began, l := time.Now(), ledger.New()
+	terms.Idle = 5 * time.Second
+	f := NewFleet(terms, []Deduplication{{Name: "safe"}, {Name: "keyed", Scope: "zone", Window: 10 * sec}}, l,
+		func() time.Duration { return time.Since(began) }, nil)
+	s := f.Add("w0", twoCores, 0, 0, 1)
+	assert.NoError(t, s.Start(true))
+	t.Cleanup(f.Wait)
+	return s, l
+}
+
+// client is one connection of a dispatcher.
+type client struct {
+	net.Conn
+	in *bufio.Reader
+	t  *testing.T
+}
+
+func connect(t *testing.T, s *Server) *client {
+	c, err := net.Dial("tcp", s.Addresses()[0])
+	assert.NoError(t, err)
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	t.Cleanup(func() { c.Close() })
+	return &client{c, bufio.NewReader(c), t}
+}
+
+func (c *client) send(l *ledger.Ledger, id string, operation int, work time.Duration) {
+	if l != nil {
+		l.Tried(id, operation, 0, 0)
+	}
+	body := fmt.Sprintf(`{"operation":%d,"work_us":%d}`, operation, work.Microseconds())
+	key := ""
+	if operation == 1 {
+		key = "Idempotency-Key: k\r\n"
+	}
+	_, err := fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, key,
+		len(body), body)
+	assert.NoError(c.t, err)
+}
+
+func (c *client) read() (status int, text string, err error) {
+	r, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	return r.StatusCode, string(b), err
+}
+
+func ended(l *ledger.Ledger, id string, how ledger.End) func() bool {
+	return func() bool { return assert.ObjectsAreEqual([]ledger.End{how}, l.Ends(id)) }
+}
+
+// held is how many jobs the worker has.
+func held(s *Server) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	running, queued := s.life.machine.Load()
+	return running + queued
+}
+
+func eventually(t *testing.T, what func() bool) {
+	assert.Eventually(t, what, 5*time.Second, time.Millisecond)
+}
+
+func TestWorkerTellsStartProgressAndResultAndKeepsTheConnection(t *testing.T) {
+	s, l := oneWorker(t, Terms{StartNotes: true, Progress: true})
+	c := connect(t, s)
+	for n := range 2 {
+		id := fmt.Sprint("a", n)
+		c.send(l, id, 0, 20*time.Millisecond)
+		status, text, err := c.read()
+		assert.NoError(t, err)
+		assert.Equal(t, 200, status)
+		states := []string{}
+		for line := range strings.Lines(text) {
+			states = append(states, strings.Split(strings.Split(line, `"state":"`)[1], `"`)[0])
+			assert.Contains(t, line, `"id":"`+id+`"`)
+		}
+		assert.Equal(t, []string{"started", "running", "done"}, states)
+		assert.Contains(t, text, `"result":"`+id+` by w0.0"`)
+	}
+	f := l.Tries()[1].Forwards[0]
+	assert.Equal(t, ledger.Done, f.End)
+	assert.GreaterOrEqual(t, f.Ended-f.Started, 20*time.Millisecond)
+}
+
+func TestFullWorkerDeclinesAndDrainHandsBackWhatWaits(t *testing.T) {
+	s, l := oneWorker(t, Terms{})
+	conns := []*client{connect(t, s), connect(t, s), connect(t, s), connect(t, s)}
+	for n, c := range conns[:3] {
+		c.send(l, fmt.Sprint("a", n), 0, 300*time.Millisecond)
+	}
+	eventually(t, func() bool { return held(s) == 3 })
+	conns[3].send(l, "a3", 0, time.Second)
+	status, _, err := conns[3].read()
+	assert.NoError(t, err)
+	assert.Equal(t, 503, status)
+	s.Drain()
+	returned, done := 0, 0
+	for _, c := range conns[:3] {
+		_, text, err := c.read()
+		assert.NoError(t, err)
+		returned += strings.Count(text, `"state":"returned"`)
+		done += strings.Count(text, `"state":"done"`)
+	}
+	assert.Equal(t, []int{1, 2}, []int{returned, done})
+}
+
+func TestCrashResetsConnectionsAndRefusesNewOnesUntilTheReturn(t *testing.T) {
+	s, l := oneWorker(t, Terms{StartNotes: true})
+	c, address := connect(t, s), s.Addresses()[0]
+	c.send(l, "a", 0, time.Minute)
+	_, err := c.in.Peek(1)
+	assert.NoError(t, err, "the start note")
+	s.Crash()
+	_, _, err = c.read()
+	assert.True(t, errors.Is(err, syscall.ECONNRESET), err)
+	_, err = net.Dial("tcp", address)
+	assert.True(t, errors.Is(err, syscall.ECONNREFUSED), err)
+	assert.Equal(t, []ledger.End{ledger.Crashed}, l.Ends("a"))
+	assert.NoError(t, s.Start(false))
+	assert.Equal(t, address, s.Addresses()[0])
+	c = connect(t, s)
+	c.send(l, "b", 0, time.Millisecond)
+	_, text, err := c.read()
+	assert.NoError(t, err)
+	assert.Contains(t, text, "b by w0.1", "its second life")
+}
+
+// Guards against a restart that fails, or answers nobody, since another program has taken the port meanwhile.
+func TestReturnGoesElsewhereWhereThePortIsTaken(t *testing.T) {
+	s, _ := oneWorker(t, Terms{})
+	address := s.Addresses()[0]
+	s.Crash()
+	ln, err := net.Listen("tcp", address)
+	assert.NoError(t, err)
+	defer ln.Close()
+	assert.NoError(t, s.Start(false))
+	assert.NotEqual(t, address, s.Addresses()[0])
+}
+
+func TestForwardThatIsGivenUpStopsItsWork(t *testing.T) {
+	s, l := oneWorker(t, Terms{})
+	c := connect(t, s)
+	c.send(l, "a", 0, time.Minute)
+	_, err := c.in.Peek(1)
+	assert.NoError(t, err)
+	c.Close()
+	eventually(t, ended(l, "a", ledger.Abandoned))
+	eventually(t, func() bool { return held(s) == 0 })
+}
+
+func TestSilentWorkerRunsAndSaysNothingMore(t *testing.T) {
+	s, l := oneWorker(t, Terms{StartNotes: true})
+	s.Silence(true)
+	c := connect(t, s)
+	c.send(l, "a", 0, 5*time.Millisecond)
+	eventually(t, ended(l, "a", ledger.Swallowed))
+	c.SetDeadline(time.Now().Add(50 * time.Millisecond))
+	_, text, err := c.read()
+	assert.Error(t, err)
+	assert.NotContains(t, text, "done")
+}
+
+func TestMachineThatIsCutOffIsSilentAndTakesNoConnection(t *testing.T) {
+	s, l := oneWorker(t, Terms{})
+	c := connect(t, s)
+	c.send(l, "a", 0, time.Millisecond)
+	_, _, err := c.read()
+	assert.NoError(t, err)
+	s.Cut(true)
+	eventually(t, func() bool {
+		late, err := net.DialTimeout("tcp", s.Addresses()[0], 50*time.Millisecond)
+		if err == nil {
+			late.Close()
+		}
+		return err != nil
+	})
+	c.send(l, "b", 0, time.Millisecond)
+	c.SetDeadline(time.Now().Add(50 * time.Millisecond))
+	_, err = c.in.Peek(1)
+	assert.Error(t, err)
+	s.Cut(false)
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	_, text, err := c.read()
+	assert.NoError(t, err)
+	assert.Contains(t, text, "b by w0.0")
+	c = connect(t, s)
+	c.send(l, "c", 0, time.Millisecond)
+	_, _, err = c.read()
+	assert.NoError(t, err)
+}
+
+func TestMessagesThatAWorkerCannotUse(t *testing.T) {
+	s, l := oneWorker(t, Terms{})
+	c := connect(t, s)
+	for text, want := range map[string]int{
+		"GET /_load HTTP/1.1\r\nHost: x\r\n\r\n":                                    404,
+		"POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n":                404,
+		"POST /api HTTP/1.1\r\nHost: x\r\nReq-Id: z\r\nContent-Length: 2\r\n\r\n{}": 400,
+	} {
+		_, err := io.WriteString(c, text)
+		assert.NoError(t, err)
+		status, _, err := c.read()
+		assert.NoError(t, err)
+		assert.Equal(t, want, status, text)
+	}
+	breaches := l.Judge(ledger.Terms{})
+	assert.Len(t, breaches, 1, "an id that no client sent")
+	assert.Equal(t, "z", breaches[0].ID)
+}
