--- a/cmd/canvaslab/main.go
+++ b/cmd/canvaslab/main.go
@@ -1,5 +1,5 @@
-// Command canvaslab runs experiments with canvasroute on stand-ins. Its libraries for plots and files stay out of
-// the dispatcher's own program.
+// Command canvaslab runs experiments with canvasroute on stand-ins. Its libraries for plots and files stay
+// out of the dispatcher's own program.
 package main
 
 import (
--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -77,8 +77,8 @@
 // New makes the command; tables go to out, progress to status.
 func New(out, status io.Writer) *cobra.Command {
 	root := &cobra.Command{Use: "canvaslab", Short: "Experiments with canvasroute on stand-ins",
-		Long: "canvaslab starts real canvasroute processes before a stand-in fleet, list service and peer network\n" +
-			"on loopback, plays an open-loop load and troubles, and judges the four rules from its own ledger.",
+		Long: "canvaslab starts real canvasroute processes before a stand-in fleet, list service and peer\n" +
+			"network on loopback, plays an open-loop load and troubles, and judges the four rules from its own ledger.",
 		SilenceUsage: true, SilenceErrors: true}
 	root.SetOut(out)
 	root.SetErr(status)
@@ -97,14 +97,16 @@
 
 func (f *runFlags) add(c *cobra.Command) {
 	c.Flags().StringVarP(&f.folder, "out", "o", "", "folder for the result (default lab-results/NAME-TIME)")
-	c.Flags().StringVar(&f.dispatcher, "dispatcher", "", "dispatcher program (default: canvasroute beside this one)")
+	c.Flags().StringVar(&f.dispatcher, "dispatcher", "",
+		"dispatcher program (default: canvasroute beside this one)")
 	c.Flags().BoolVarP(&f.quiet, "quiet", "q", false, "no progress")
 }
 
 func demoCommand(out, status io.Writer) *cobra.Command {
 	f, show := &runFlags{}, false
-	c := &cobra.Command{Use: "demo", Short: "Three dispatchers, ten workers, a crash in the middle: half a minute",
-		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+	c := &cobra.Command{Use: "demo",
+		Short: "Three dispatchers, ten workers, a crash in the middle: half a minute",
+		Args:  cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
 			if show {
 				_, err := out.Write(demo)
 				return err
@@ -122,7 +124,8 @@
 
 func runCommand(out, status io.Writer) *cobra.Command {
 	f := &runFlags{}
-	c := &cobra.Command{Use: "run FILE", Short: "Run the experiment that a TOML file names", Args: cobra.ExactArgs(1),
+	c := &cobra.Command{Use: "run FILE", Short: "Run the experiment that a TOML file names",
+		Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			p, err := experiment.Read(args[0])
 			if err != nil {
@@ -176,7 +179,8 @@
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(out, "%s, seed %d, %s\n%s  %-28s %s\n\n", r.Name, r.Seed, r.Policy, report.Text(r), "report", page)
+		fmt.Fprintf(out, "%s, seed %d, %s\n%s  %-28s %s\n\n", r.Name, r.Seed, r.Policy, report.Text(r), "report",
+			page)
 		broken = broken || r.Broken()
 		if r.Partial {
 			return errInterrupted
@@ -228,8 +232,9 @@
 }
 
 func compareCommand(out io.Writer) *cobra.Command {
-	return &cobra.Command{Use: "compare A B", Short: "Set two runs, or two folders of runs over seeds, side by side",
-		Args: cobra.ExactArgs(2), RunE: func(_ *cobra.Command, args []string) error {
+	return &cobra.Command{Use: "compare A B",
+		Short: "Set two runs, or two folders of runs over seeds, side by side",
+		Args:  cobra.ExactArgs(2), RunE: func(_ *cobra.Command, args []string) error {
 			a, err := experiment.ReadResults(args[0])
 			if err != nil {
 				return badInput{err}
@@ -246,15 +251,23 @@
 func saturateCommand(out, status io.Writer) *cobra.Command {
 	f := &runFlags{}
 	s := experiment.Saturation{Seed: 1, Steps: 4}
-	alone := false
+	alone, null := false, false
 	c := &cobra.Command{Use: "saturate", Short: "Find the highest rate at which the objective holds",
-		Long: "saturate looks for the highest rate at which p99, counted from the intended time of sending, keeps the\n" +
+		Long: "saturate looks for the highest rate at which p99, counted from the intended time, keeps the\n" +
 			"objective and nothing fails, on one core before workers that do no work; beside it, the same for the\n" +
 			"standard library's ReverseProxy.",
 		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
-			return f.saturate(c.Context(), s, alone, out, status)
+			policies := []string{experiment.Canvasroute, "reverse-proxy"}
+			switch {
+			case null:
+				policies = []string{"null-server"}
+			case alone:
+				policies = policies[:1]
+			}
+			return f.saturate(c.Context(), s, policies, out, status)
 		}}
-	c.Flags().StringVar(&f.dispatcher, "dispatcher", "", "dispatcher program (default: canvasroute beside this one)")
+	c.Flags().StringVar(&f.dispatcher, "dispatcher", "",
+		"dispatcher program (default: canvasroute beside this one)")
 	c.Flags().DurationVar(&s.Objective, "objective", 50*time.Millisecond, "for p99")
 	c.Flags().DurationVar(&s.For, "for", 4*time.Second, "length of a trial")
 	c.Flags().Float64Var(&s.Cores, "cores", 1, "of the dispatcher")
@@ -262,10 +275,13 @@
 	c.Flags().Float64Var(&s.First, "from", 3000, "first rate, a second")
 	c.Flags().Float64Var(&s.Most, "to", 100000, "highest rate that is tried")
 	c.Flags().BoolVar(&alone, "alone", false, "without ReverseProxy beside it")
+	c.Flags().BoolVar(&null, "null", false,
+		"a server that answers at once in its place: what the generator holds")
 	return c
 }
 
-func (f *runFlags) saturate(ctx context.Context, s experiment.Saturation, alone bool, out, status io.Writer) error {
+func (f *runFlags) saturate(ctx context.Context, s experiment.Saturation, policies []string,
+	out, status io.Writer) error {
 	dispatcher, self, err := experiment.Find(f.dispatcher)
 	if err != nil {
 		return badInput{err}
@@ -275,14 +291,11 @@
 		return err
 	}
 	defer os.RemoveAll(folder)
-	policies := []string{experiment.Canvasroute, "reverse-proxy"}
-	if alone {
-		policies = policies[:1]
-	}
 	best := map[string]experiment.Trial{}
 	for _, policy := range policies {
 		s.Policy = policy
-		b, err := experiment.Saturate(ctx, s, experiment.Options{Folder: folder, Dispatcher: dispatcher, Self: self},
+		b, err := experiment.Saturate(ctx, s, experiment.Options{Folder: folder, Dispatcher: dispatcher,
+			Self: self},
 			func(t experiment.Trial) {
 				verdict := "holds"
 				if !t.Holds {
@@ -302,9 +315,10 @@
 		fmt.Fprintf(out, "%-14s %10.0f %10.2f %10.2f %12.1f %12.1f %12.0f\n", policy, b.Rate, b.P50, b.P99, b.CPU,
 			b.Mallocs, b.Bytes)
 	}
-	if p := best["reverse-proxy"]; !alone && p.Rate > 0 {
+	if p := best["reverse-proxy"]; p.Rate > 0 {
 		c := best[experiment.Canvasroute]
-		fmt.Fprintf(out, "%-14s %9.2fx %21.2fx %11.2fx %11.2fx %11.2fx\n", "ratio", c.Rate/p.Rate, c.P99/p.P99, c.CPU/p.CPU,
+		fmt.Fprintf(out, "%-14s %9.2fx %21.2fx %11.2fx %11.2fx %11.2fx\n", "ratio", c.Rate/p.Rate, c.P99/p.P99,
+			c.CPU/p.CPU,
 			c.Mallocs/p.Mallocs, c.Bytes/p.Bytes)
 	}
 	return nil
--- /dev/null
+++ b/internal/lab/command/lab_test.go
@@ -0,0 +1,224 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"canvasroute/internal/lab/experiment"
+	"canvasroute/internal/lab/ledger"
+	"canvasroute/internal/program"
+)
+
+// The test binary stands in for both programs: for canvaslab with arguments after "lab", for canvasroute where a
+// dispatcher is started.
+func TestMain(m *testing.M) {
+	switch {
+	case len(os.Args) > 1 && os.Args[1] == "stand-in":
+		os.Exit(Main(os.Args[1:]))
+	case os.Getenv("LB_CONFIG") != "":
+		os.Exit(program.Main())
+	case len(os.Args) > 2 && os.Args[1] == "lab":
+		os.Exit(Main(os.Args[2:]))
+	}
+	os.Exit(m.Run())
+}
+
+// short is an experiment of three seconds, in which a worker drains and another one starts cold.
+const short = `name = "short"
+[dispatchers]
+count = 2
+policy = %q
+fault = %q
+[fleet]
+zones = ["north", "south"]
+cold-from = 0.1
+cold-ramp = "8s"
+list-lag = "100ms"
+[[fleet.kind]]
+name = "std"
+cores = 2
+queue = 4
+count = 6
+[[operation]]
+name = "safe"
+repeat = "idempotent"
+objective = "500ms"
+stretch = 2
+timeout = "3s"
+work = "50ms"
+tail = "exponential"
+share = 1
+value = 1
+[[operation]]
+name = "once"
+repeat = "non-idempotent"
+objective = "500ms"
+stretch = 2
+timeout = "3s"
+work = "50ms"
+tail = "exponential"
+share = 1
+value = 1
+[load]
+retries = 1
+[[load.phase]]
+shape = "poisson"
+rate = 60
+for = "3s"
+[[trouble]]
+kind = "drain"
+at = "200ms"
+for = "2500ms"
+workers = 1
+[[trouble]]
+kind = "grow"
+at = "500ms"
+workers = 1
+`
+
+func play(t *testing.T, policy, fault string) *experiment.Result {
+	p, err := experiment.Parse("short.toml", fmt.Appendf(nil, short, policy, fault))
+	assert.NoError(t, err)
+	self, err := os.Executable()
+	assert.NoError(t, err)
+	r, err := p.Run(context.Background(), 3, experiment.Options{Folder: t.TempDir(), Dispatcher: self, Self: self})
+	assert.NoError(t, err)
+	if r == nil {
+		t.FailNow()
+	}
+	assert.Empty(t, r.Failures)
+	assert.EqualValues(t, r.Planned, r.Calls.Total.Calls)
+	return r
+}
+
+// broken are the rules that were broken, by name.
+func broken(r *experiment.Result) (rules []ledger.Rule) {
+	for _, rule := range ledger.Rules {
+		if r.Rules[string(rule)] > 0 {
+			rules = append(rules, rule)
+		}
+	}
+	return rules
+}
+
+func TestBrokenDispatchersAreCaughtEachByItsRule(t *testing.T) {
+	for fault, rule := range map[string]ledger.Rule{"double-forward": ledger.RuleNoneTwice,
+		"lost-answer": ledger.RuleNoneLost, "drain-ignored": ledger.RuleDrains,
+		"cold-push": ledger.RuleColdBudget} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			r := play(t, "round-robin", fault)
+			assert.Equal(t, []ledger.Rule{rule}, broken(r), r.Breaches)
+			for _, b := range r.Breaches {
+				assert.NotEmpty(t, b.ID, "the invocation is named")
+				if fault == "double-forward" {
+					assert.Equal(t, "once", b.Operation)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a ledger that cries wolf.
+func TestSoundDispatchersBreakNoRule(t *testing.T) {
+	for _, policy := range []string{experiment.Canvasroute, "round-robin", "least-outstanding", "random"} {
+		t.Run(policy, func(t *testing.T) {
+			t.Parallel()
+			r := play(t, policy, "")
+			assert.Empty(t, r.Breaches)
+			assert.Greater(t, r.Calls.Total.Answers["succeeded"], r.Calls.Total.Calls*8/10)
+		})
+	}
+}
+
+// lab starts canvaslab as a process of its own.
+func lab(t *testing.T, args ...string) (*exec.Cmd, *bytes.Buffer) {
+	self, err := os.Executable()
+	assert.NoError(t, err)
+	out := &bytes.Buffer{}
+	cmd := exec.Command(self, append([]string{"lab"}, args...)...)
+	cmd.Stdout, cmd.Stderr = out, out
+	return cmd, out
+}
+
+func exit(t *testing.T, err error) int {
+	var ended *exec.ExitError
+	if errors.As(err, &ended) {
+		return ended.ExitCode()
+	}
+	assert.NoError(t, err)
+	return 0
+}
+
+func TestInterruptLeavesNoProcessAndAReadablePartialResult(t *testing.T) {
+	t.Parallel()
+	folder, self := filepath.Join(t.TempDir(), "out"), os.Args[0]
+	cmd, out := lab(t, "demo", "-q", "-o", folder, "--dispatcher", self)
+	assert.NoError(t, cmd.Start())
+	var listen string
+	assert.Eventually(t, func() bool {
+		var config struct{ Listen string }
+		b, err := os.ReadFile(filepath.Join(folder, "d0.json"))
+		if err != nil || json.Unmarshal(b, &config) != nil {
+			return false
+		}
+		c, err := net.Dial("tcp", config.Listen)
+		if err == nil {
+			c.Close()
+		}
+		listen = config.Listen
+		return err == nil
+	}, 10*time.Second, 10*time.Millisecond)
+	time.Sleep(1500 * time.Millisecond)
+	assert.NoError(t, cmd.Process.Signal(syscall.SIGINT))
+	assert.Equal(t, exitSignal, exit(t, cmd.Wait()), out)
+	_, err := net.Dial("tcp", listen)
+	assert.ErrorIs(t, err, syscall.ECONNREFUSED)
+	r, err := experiment.ReadResult(folder)
+	assert.NoError(t, err)
+	assert.True(t, r.Partial)
+	assert.Positive(t, r.Calls.Total.Answers["succeeded"])
+	assert.Empty(t, r.Breaches)
+	assert.FileExists(t, filepath.Join(folder, "report.html"))
+}
+
+func TestExitCodesAndMessages(t *testing.T) {
+	t.Parallel()
+	file := filepath.Join(t.TempDir(), "x.toml")
+	write := func(text string) { assert.NoError(t, os.WriteFile(file, []byte(text), 0o600)) }
+	good := fmt.Sprintf(short, experiment.Canvasroute, "")
+	for _, c := range []struct {
+		text, want string
+		args       []string
+		code       int
+	}{
+		{good, "x.toml: good; ", []string{"check", file}, 0},
+		{strings.Replace(good, "queue", "cue", 1), "x.toml:14: unknown key fleet.kind.cue", []string{"check", file}, 2},
+		{strings.Replace(good, `"500ms"`, `"soon"`, 1), `"soon" is not a time`, []string{"run", file}, 2},
+		{strings.Replace(good, "cores = 2", "cores = 0", 1), "x.toml: fleet.kind[0]", []string{"run", file}, 2},
+		{strings.Replace(good, "workers = 1", "workers = 9", 1), "x.toml: trouble[0].workers: 9", []string{"run", file}, 2},
+		{good, "no dispatcher to start", []string{"run", file, "--dispatcher", "/nowhere"}, 2},
+		{good, "unknown flag: --fast", []string{"run", file, "--fast"}, 2},
+		{good, `dispatchers.policy: "best"`, []string{"run", file, "--policy", "best"}, 2},
+		{good, "holds no result", []string{"compare", filepath.Dir(file), filepath.Dir(file)}, 2},
+		{"", "no such file", []string{"check", file + "x"}, 2},
+	} {
+		write(c.text)
+		cmd, out := lab(t, c.args...)
+		assert.Equal(t, c.code, exit(t, cmd.Run()), c.want)
+		assert.Contains(t, out.String(), c.want)
+	}
+}
--- /dev/null
+++ b/internal/lab/experiment/experiment_test.go
@@ -0,0 +1,144 @@
+package experiment
+
+import (
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"canvasroute/internal/program"
+)
+
+const smallest = `[[fleet.kind]]
+name = "std"
+cores = 1
+count = 3
+[[operation]]
+name = "safe"
+repeat = "idempotent"
+objective = "1s"
+timeout = "2s"
+work = "1ms"
+tail = "constant"
+share = 1
+`
+
+func parsed(t *testing.T, more string) *Plan {
+	p, err := Parse("x.toml", []byte(smallest+more))
+	assert.NoError(t, err)
+	return p
+}
+
+func TestDispatcherThatDoesNotStartIsToldWithItsLog(t *testing.T) {
+	p, folder := parsed(t, "[[load.phase]]\nshape=\"poisson\"\nrate=1\nfor=\"1s\"\n"), t.TempDir()
+	_, err := p.Run(context.Background(), 1, Options{Folder: folder, Dispatcher: "/bin/false"})
+	assert.ErrorContains(t, err, "d0 did not become ready: see its log "+filepath.Join(folder, "d0.log"))
+	assert.NoFileExists(t, filepath.Join(folder, resultName))
+}
+
+func TestFolderThatHoldsAResultIsLeftAlone(t *testing.T) {
+	p, folder := parsed(t, "[[load.phase]]\nshape=\"poisson\"\nrate=1\nfor=\"1s\"\n"), t.TempDir()
+	assert.NoError(t, os.WriteFile(filepath.Join(folder, resultName), []byte("{}"), 0o600))
+	_, err := p.Run(context.Background(), 1, Options{Folder: folder})
+	assert.ErrorContains(t, err, "holds a result already")
+	_, err = ReadResult(folder)
+	assert.ErrorContains(t, err, "format 0, this program reads 1")
+}
+
+// Guards against a port that somebody listens on, over either protocol.
+func TestPortsThatAreTakenArePassedOver(t *testing.T) {
+	taken := map[uint16]bool{}
+	for port := range uint16(mostPort - leastPort) {
+		taken[leastPort+port] = port != 100 && port != 101
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:10340")
+	if err != nil {
+		t.Skip("somebody else listens there")
+	}
+	defer ln.Close()
+	for range 50 { // drawn by chance: most draws meet a taken one
+		at, err := freePort(taken)
+		if err == nil {
+			assert.EqualValues(t, 10341, at.Port())
+			return
+		}
+		assert.ErrorContains(t, err, "no free port")
+	}
+}
+
+// What the lab writes as a configuration is what a dispatcher reads: else an experiment would test its defaults.
+func TestConfigurationIsReadByTheDispatcherAsItWasMeant(t *testing.T) {
+	p := parsed(t, `[[operation]]
+name = "keyed"
+repeat = "deduplicated"
+dedup-scope = "zone"
+dedup-window = "40s"
+objective = "3s"
+stretch = 1.5
+timeout = "25s"
+work = "1ms"
+tail = "constant"
+share = 1
+value = 5
+tardy-value = 0.25
+[[customer]]
+name = "uni"
+share = 1
+quota = 7
+[fleet]
+zones = ["a", "b"]
+cold-from = 0.12
+cold-ramp = "24s"
+start-notes = true
+[dispatchers]
+count = 3
+cores = 0.5
+memory-mb = 64
+sockets = 384
+[[load.phase]]
+shape = "constant"
+rate = 1
+for = "1s"
+`)
+	path := filepath.Join(t.TempDir(), "c.json")
+	config, err := p.placement(1, 0, 1, "127.0.0.1:8080", "127.0.0.1:8500", nil, []byte(`{"seq":1,"hosts":[]}`))
+	assert.NoError(t, err)
+	p.Dispatchers.Peers = false
+	bare, err := p.placement(1, 0, 1, "127.0.0.1:8080", "127.0.0.1:8500", nil, []byte(`{"seq":1,"hosts":[]}`))
+	assert.NoError(t, err)
+	assert.NotEqual(t, config, bare)
+	assert.NoError(t, os.WriteFile(path, bare, 0o600))
+	got, err := program.Read(func(v string) string {
+		return map[string]string{"LB_CONFIG": path}[v]
+	})
+	assert.NoError(t, err)
+	d := got.Decisions
+	assert.Equal(t, []any{3, 1, 0.12, 4, 0.5, 64, 384, true, true}, []any{d.Dispatchers, d.Position, d.ColdFrom,
+		d.ForwardsMost, got.Cores, got.MemoryMB, got.Sockets, d.StartNotes, d.MayCancel})
+	keyed := d.Operations[1]
+	assert.Equal(t, []any{40 * time.Second, 3 * time.Second, 5.0, 0.25, 1.5}, []any{keyed.Window.Duration(),
+		keyed.Objective.Duration(), keyed.Value, keyed.TardyShare, keyed.Stretch})
+	assert.Equal(t, []string{"a", "b"}, got.Routing.Zones)
+	assert.Equal(t, 7.0, d.Customers[0].Quota)
+	assert.Equal(t, 24*time.Second, d.Ramp.Duration())
+}
+
+func TestTraceIsReadFromBesideTheFileAndRefusedWithItsLine(t *testing.T) {
+	folder := t.TempDir()
+	file, trace := filepath.Join(folder, "x.toml"), filepath.Join(folder, "t.csv")
+	assert.NoError(t, os.WriteFile(file, []byte(smallest+"[load]\ntrace=\"t.csv\"\n"), 0o600))
+	_, err := Read(file)
+	assert.ErrorContains(t, err, "load.trace: open "+trace)
+	assert.NoError(t, os.WriteFile(trace, []byte("time,operation\n1,safe\n0.5,safe\n"), 0o600))
+	_, err = Read(file)
+	assert.ErrorContains(t, err, trace+":3: time: 0.5 comes after 1")
+	assert.NoError(t, os.WriteFile(trace, []byte("time,operation\n1,safe\n1.5,safe\n"), 0o600))
+	p, err := Read(file)
+	assert.NoError(t, err)
+	assert.Len(t, p.Schedule(1), 2)
+	assert.Equal(t, 1501*time.Millisecond, p.Long())
+}
--- a/internal/lab/experiment/plan.go
+++ b/internal/lab/experiment/plan.go
@@ -1,5 +1,6 @@
-// Package experiment runs what an experiment file names: real dispatcher processes before a stand-in fleet, list
-// service and peer network, under an open-loop load and troubles on a timeline. It leaves a folder with results.
+// Package experiment runs what an experiment file names: real dispatcher processes before a stand-in fleet,
+// list service and peer network, under an open-loop load and troubles on a timeline. It leaves a folder with
+// results.
 package experiment
 
 import (
@@ -174,7 +175,8 @@
 	case !slices.Contains(policies, d.Policy):
 		return fmt.Errorf("dispatchers.policy: %q, must be one of %q", d.Policy, policies)
 	case d.Fault != "" && (d.Policy == Canvasroute || !slices.Contains(rival.Faults, d.Fault)):
-		return fmt.Errorf("dispatchers.fault: %q, must be one of %q, with a baseline's policy", d.Fault, rival.Faults)
+		return fmt.Errorf("dispatchers.fault: %q, must be one of %q, with a baseline's policy", d.Fault,
+			rival.Faults)
 	case !(d.Cores > 0 && d.Cores <= 64):
 		return fmt.Errorf("dispatchers.cores: %v, must be above 0 and at most 64", d.Cores)
 	case d.MemoryMB < 16 || d.Sockets < 64:
--- a/internal/lab/experiment/process.go
+++ b/internal/lab/experiment/process.go
@@ -152,8 +152,8 @@
 	}
 }
 
-// Ports for dispatchers lie below those that the kernel deals out for connections: else one could be taken by a
-// connection while its dispatcher restarts.
+// Ports for dispatchers lie below those that the kernel deals out for connections: else one could be taken by
+// a connection while its dispatcher restarts.
 const (
 	leastPort = 10240
 	mostPort  = 32767
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -36,8 +36,8 @@
 // slots is into how many stretches a run's figures are cut at the most.
 const slots = 120
 
-// Run runs the plan once under a seed, and leaves the result in the folder. When ctx ends before, what has been
-// measured is left as a partial result, and no process remains.
+// Run runs the plan once under a seed, and leaves the result in the folder. When ctx ends before, what has
+// been measured is left as a partial result, and no process remains.
 func (p *Plan) Run(ctx context.Context, seed uint64, o Options) (*Result, error) {
 	if err := os.MkdirAll(o.Folder, 0o755); err != nil {
 		return nil, err
--- a/internal/lab/experiment/saturate.go
+++ b/internal/lab/experiment/saturate.go
@@ -46,7 +46,8 @@
 // growth is from one rate to the next while rates hold.
 const growth = 1.5
 
-// Saturate looks for the highest rate that holds, each rate on a fresh process before workers that do no work.
+// Saturate looks for the highest rate that holds, each rate on a fresh process before workers that do no
+// work.
 func Saturate(ctx context.Context, s Saturation, o Options, told func(Trial)) (best Trial, err error) {
 	low, high := 0.0, math.Inf(1)
 	step := 0
--- a/internal/lab/ledger/judge.go
+++ b/internal/lab/ledger/judge.go
@@ -83,15 +83,20 @@
 	})
 }
 
-// lost judges rule 1: what a running dispatcher has taken gets one whole answer in time, and a success carries
-// what a worker made for this very invocation.
+// lost judges rule 1: what a running dispatcher has taken gets one whole answer in time, and a success
+// carries what a worker made for this very invocation.
 func (l *Ledger) lost(t Terms, try *Try) []Breach {
 	breach := func(what string) []Breach {
 		return []Breach{{Rule: RuleNoneLost, ID: try.ID, Dispatcher: try.Dispatcher, Worker: -1,
 			At: max(try.Ended, try.Sent), What: what}}
 	}
 	made := func(f *Forward) bool { return f.Result == try.Result && f.Result != "" }
+	read := func(f *Forward) bool {
+		return f.First < try.Crossed && !l.away(try.Dispatcher, f.First, try.Crossed)
+	}
 	switch {
+	case slices.ContainsFunc(try.Forwards, read):
+		return breach("its kept connection ended with no answer, though it had been forwarded")
 	case try.Kind == Succeeded && !slices.ContainsFunc(try.Forwards, made):
 		return breach(fmt.Sprintf("answered with %.60q, which no worker made for it", try.Result))
 	case try.Sent == 0, try.Kind == Interrupted, l.away(try.Dispatcher, try.Sent, max(try.Ended, try.Sent)):
@@ -110,6 +115,9 @@
 	slices.SortStableFunc(forwards, func(a, b *Forward) int { return cmp.Compare(a.First, b.First) })
 	for n, f := range forwards {
 		for _, earlier := range forwards[:n] {
+			if earlier.First < try.Crossed && f.First >= try.Crossed {
+				continue // its client has sent it anew: judged as lost
+			}
 			if what := t.repeated(o, earlier, f); what != "" {
 				breaches = append(breaches, Breach{Rule: RuleNoneTwice, ID: try.ID, Dispatcher: f.Dispatcher,
 					Worker: f.Worker, At: f.Whole, What: what})
--- a/internal/lab/ledger/judge_test.go
+++ b/internal/lab/ledger/judge_test.go
@@ -139,3 +139,29 @@
 	assert.Equal(t, Breach{Rule: RuleColdBudget, ID: "heavy", Operation: "once", Worker: 2, At: 7 * ms,
 		What: "3s of work within the span, where it bears 1s"}, breaches[0])
 }
+
+// Guards against an answer lost on a kept connection that passes for one that was closed between two
+// messages: the client sends the invocation anew, and the second effect is that loss's doing.
+func TestKeptConnectionThatEndsAfterAForwardLosesTheInvocation(t *testing.T) {
+	for _, forwarded := range []bool{false, true} {
+		l := New()
+		try := l.Tried("a", 1, 0, 1000*ms)
+		l.Sent(try, 5*ms)
+		if forwarded {
+			l.Received("a", at(0, 10*ms, Done, 20*ms))
+		}
+		l.Moved(try, 25*ms)
+		l.Sent(try, 26*ms)
+		l.Received("a", at(1, 30*ms, Done, 40*ms))
+		l.Ended(try, Succeeded, 200, "made", 50*ms)
+		rules := []Rule{}
+		for _, b := range l.Judge(terms) {
+			rules = append(rules, b.Rule)
+		}
+		want := []Rule{}
+		if forwarded {
+			want = []Rule{RuleNoneLost}
+		}
+		assert.Equal(t, want, rules)
+	}
+}
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -1,6 +1,6 @@
-// Package ledger writes down what happened in an experiment, and judges the four rules from that alone. It does
-// no I/O: the stand-ins and the load generator tell it what they did and saw, with times from the experiment's
-// start. What a dispatcher says of itself counts for nothing here.
+// Package ledger writes down what happened in an experiment, and judges the four rules from that alone. It
+// does no I/O: the stand-ins and the load generator tell it what they did and saw, with times from the
+// experiment's start. What a dispatcher says of itself counts for nothing here.
 package ledger
 
 import (
@@ -25,7 +25,8 @@
 
 // Kinds are their names, as results tell them.
 var Kinds = [...]string{Open: "open", Succeeded: "succeeded", Throttled: "throttled", Errored: "errored",
-	Unanswered: "unanswered", Broken: "broken", Unreachable: "unreachable", Interrupted: "interrupted", Unsent: "unsent"}
+	Unanswered: "unanswered", Broken: "broken", Unreachable: "unreachable", Interrupted: "interrupted",
+	Unsent: "unsent"}
 
 // End is how a forward ended at its worker.
 type End uint8
@@ -63,6 +64,7 @@
 	Status                int
 	Result                string
 	Forwards              []*Forward
+	Crossed               time.Duration // when a kept connection ended under it and it was sent anew; 0 if never
 }
 
 // Notice is what the list service wrote to one dispatcher of one worker.
@@ -118,11 +120,12 @@
 	t.Sent = at
 }
 
-// Moved tells that a try goes out anew to a dispatcher, since the connection ended before it was read.
-func (l *Ledger) Moved(t *Try, dispatcher int) {
+// Moved tells that a try goes out anew, since a kept connection ended with nothing heard: as far as its
+// client can tell, that end has crossed it and nobody has read it.
+func (l *Ledger) Moved(t *Try, at time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t.Dispatcher, t.Sent = dispatcher, 0
+	t.Sent, t.Crossed = 0, at
 }
 
 // Ended closes a try.
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -108,7 +108,8 @@
 		_, err := Segments([]Phase{p})
 		assert.ErrorContains(t, err, want)
 	}
-	good := Operation{Name: "a", Repeat: Idempotent, Work: 1, Objective: 1, Timeout: 2, Share: 1, Tail: "constant"}
+	good := Operation{Name: "a", Repeat: Idempotent, Work: 1, Objective: 1, Timeout: 2, Share: 1,
+		Tail: "constant"}
 	assert.NoError(t, good.Check())
 	for want, change := range map[string]func(*Operation){
 		"repeat:": func(o *Operation) { o.Repeat = "sometimes" }, "timeout:": func(o *Operation) { o.Timeout = 0 },
--- a/internal/lab/load/mix.go
+++ b/internal/lab/load/mix.go
@@ -102,7 +102,8 @@
 	if o.HintError < 0 {
 		return 0
 	}
-	return max(time.Duration(float64(work)*math.Exp(error*o.HintError)).Round(time.Microsecond), time.Microsecond)
+	return max(time.Duration(float64(work)*math.Exp(error*o.HintError)).Round(time.Microsecond),
+		time.Microsecond)
 }
 
 // picker draws from shares.
--- a/internal/lab/load/shape.go
+++ b/internal/lab/load/shape.go
@@ -134,8 +134,8 @@
 	return s
 }
 
-// arrivals draws times. In terms of the mean number due, arrivals by chance are exponential distances apart and
-// even ones lie one apart; a change of the rate within a segment stretches time, not the draw.
+// arrivals draws times. In terms of the mean number due, arrivals by chance are exponential distances apart
+// and even ones lie one apart; a change of the rate within a segment stretches time, not the draw.
 func arrivals(segments []Segment, rng *rand.Rand) (at []time.Duration) {
 	start, next := time.Duration(0), -1.0
 	for _, s := range segments {
--- a/internal/lab/load/trace.go
+++ b/internal/lab/load/trace.go
@@ -29,14 +29,15 @@
 	Retry     bool     `json:"retry"`
 }
 
-// columns are the names that a CSV trace's first line may have, in any order; time and operation must be there.
+// columns are the names that a CSV trace's first line may have, in any order; time and operation must be
+// there.
 var columns = []string{"time", "operation", "hint", "work", "customer", "key", "retry"}
 
 // longestTrace bounds a time in a trace, in seconds.
 const longestTrace = 7 * 24 * 3600
 
-// Trace reads recorded arrivals: CSV with a first line of names if the name ends in .csv, else a JSON object a
-// line. Every row must be good: the error names the file, the line and what is wrong there.
+// Trace reads recorded arrivals: CSV with a first line of names if the name ends in .csv, else a JSON object
+// a line. Every row must be good: the error names the file, the line and what is wrong there.
 func (p *Plan) Trace(name string, in io.Reader, seed uint64) ([]Arrival, error) {
 	t := &tracer{plan: p, rng: unit.Chance(seed, "trace"), last: math.Inf(-1)}
 	read := t.lines
--- a/internal/lab/measure/recorder.go
+++ b/internal/lab/measure/recorder.go
@@ -1,6 +1,6 @@
-// Package measure counts what an experiment's calls came to. A call is an invocation with its client's retries.
-// Its latency counts from when it was meant to be sent, not from when it was: a generator that waits for a slow
-// dispatcher would hide just the time in question (coordinated omission).
+// Package measure counts what an experiment's calls came to. A call is an invocation with its client's
+// retries. Its latency counts from when it was meant to be sent, not from when it was: a generator that waits
+// for a slow dispatcher would hide just the time in question (coordinated omission).
 package measure
 
 import (
--- a/internal/lab/measure/summary.go
+++ b/internal/lab/measure/summary.go
@@ -65,7 +65,8 @@
 func (r *Recorder) Summary(operations, customers []string) Summary {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := Summary{Total: r.total.read(""), Succeeded: read(r.succeeded), All: read(r.all), Every: r.every.Seconds()}
+	s := Summary{Total: r.total.read(""), Succeeded: read(r.succeeded), All: read(r.all),
+		Every: r.every.Seconds()}
 	for n, t := range r.operations {
 		s.Operations = append(s.Operations, t.read(operations[n]))
 	}
--- a/internal/lab/registry/catalog.go
+++ b/internal/lab/registry/catalog.go
@@ -1,5 +1,5 @@
-// Package registry is a stand-in for the platform's list service. The catalog in this file does no I/O and has
-// no clock; the server puts it on sockets, one for each dispatcher, as their views may differ.
+// Package registry is a stand-in for the platform's list service. The catalog in this file does no I/O and
+// has no clock; the server puts it on sockets, one for each dispatcher, as their views may differ.
 package registry
 
 import "time"
@@ -60,8 +60,8 @@
 // Settled makes all changes so far visible: the list that an experiment begins with.
 func (c *Catalog) Settled() { c.visible = len(c.changes) }
 
-// Whole is the list as it can be seen, in the order in which workers were first listed, and with those that are
-// gone: a whole list tells of them by leaving them out.
+// Whole is the list as it can be seen, in the order in which workers were first listed, and with those that
+// are gone: a whole list tells of them by leaving them out.
 func (c *Catalog) Whole(now time.Duration) (version int, entries []Entry) {
 	version = c.Version(now)
 	return version, latest(c.changes[:version])
--- a/internal/lab/registry/registry_test.go
+++ b/internal/lab/registry/registry_test.go
@@ -38,7 +38,8 @@
 		assert.True(t, whole)
 		assert.Len(t, entries, 3)
 	}
-	assert.NotContains(t, string(encode(5, true, []Entry{{Host: "w1", State: Gone, Dials: []string{""}}}, 0)), "w1")
+	assert.NotContains(t, string(encode(5, true, []Entry{{Host: "w1", State: Gone, Dials: []string{""}}}, 0)),
+		"w1")
 }
 
 // served runs a service over one worker, and returns what has been told.
--- a/internal/lab/registry/server.go
+++ b/internal/lab/registry/server.go
@@ -153,7 +153,8 @@
 }
 
 // watch writes a line for each change until somebody ends it.
-func (s *Service) watch(w http.ResponseWriter, r *http.Request, dispatcher, version int, open context.Context) {
+func (s *Service) watch(w http.ResponseWriter, r *http.Request, dispatcher, version int,
+	open context.Context) {
 	out, first, wrote := http.NewResponseController(w), true, time.Now()
 	look := time.NewTicker(lookEvery)
 	defer look.Stop()
--- a/internal/lab/report/charts.go
+++ b/internal/lab/report/charts.go
@@ -29,11 +29,13 @@
 
 // colours by what they stand for, so that all charts agree.
 var colours = map[string]color.Color{
-	"arrivals": color.Gray{90}, "succeeded": color.RGBA{44, 140, 80, 255}, "throttled": color.RGBA{230, 150, 20, 255},
+	"arrivals": color.Gray{90}, "succeeded": color.RGBA{44, 140, 80, 255}, "throttled": color.RGBA{230, 150,
+		20, 255},
 	"errored": color.RGBA{200, 40, 40, 255}, "unanswered": color.RGBA{120, 40, 160, 255},
 	"broken": color.RGBA{0, 0, 0, 255}, "unreachable": color.RGBA{110, 80, 50, 255},
 	"interrupted": color.RGBA{120, 120, 200, 255}, "unsent": color.RGBA{250, 0, 200, 255},
-	"p50": color.RGBA{60, 110, 190, 255}, "p95": color.RGBA{90, 60, 160, 255}, "p99": color.RGBA{200, 40, 90, 255},
+	"p50": color.RGBA{60, 110, 190, 255}, "p95": color.RGBA{90, 60, 160, 255}, "p99": color.RGBA{200, 40, 90,
+		255},
 }
 
 // canvas makes an empty chart over the run's time, with its troubles marked.
@@ -46,7 +48,8 @@
 	return p
 }
 
-// mark shades the times of troubles up to a height. What lasts to the end, or for a moment, is a band of its own.
+// mark shades the times of troubles up to a height. What lasts to the end, or for a moment, is a band of its
+// own.
 func mark(p *plot.Plot, r *experiment.Result, low, high float64) {
 	for n, m := range r.Troubles {
 		from, to := m.From.Seconds(), m.To.Seconds()
--- a/internal/lab/report/compare.go
+++ b/internal/lab/report/compare.go
@@ -68,8 +68,8 @@
 	return mean, math.Sqrt(deviation / float64(len(runs)-1))
 }
 
-// apart tells whether two means differ by more than their standard errors explain: twice those of both. With a
-// single run on either side nobody can tell.
+// apart tells whether two means differ by more than their standard errors explain: twice those of both. With
+// a single run on either side nobody can tell.
 func apart(a, b []*experiment.Result, f Figure) bool {
 	if len(a) < 2 || len(b) < 2 {
 		return false
@@ -83,7 +83,8 @@
 // Compare sets two sets of runs side by side.
 func Compare(nameA, nameB string, a, b []*experiment.Result) string {
 	var out strings.Builder
-	fmt.Fprintf(&out, "A: %s, %s, %d runs\nB: %s, %s, %d runs\n\n", nameA, a[0].Policy, len(a), nameB, b[0].Policy,
+	fmt.Fprintf(&out, "A: %s, %s, %d runs\nB: %s, %s, %d runs\n\n", nameA, a[0].Policy, len(a), nameB,
+		b[0].Policy,
 		len(b))
 	for _, w := range warnings(a, b) {
 		fmt.Fprintf(&out, "note: %s\n", w)
@@ -102,7 +103,7 @@
 		fmt.Fprintf(&out, "%-18s %11.3f ±%7.3f %11.3f ±%7.3f %+12.3f%s\n", f.Name, meanA, devA, meanB, devB,
 			meanB-meanA, verdict)
 	}
-	out.WriteString("\n± is the standard deviation of single runs; a verdict stands where the means differ by more " +
+	out.WriteString("\n± is the standard deviation of single runs; a verdict stands where means differ by more " +
 		"than\ntwice their standard errors.\n")
 	return out.String()
 }
--- a/internal/lab/report/page.go
+++ b/internal/lab/report/page.go
@@ -83,7 +83,8 @@
 		Row{Name: "billed value", Value: fmt.Sprintf("%.1f%% of what was asked for", 100*c.Total.ValueShare)},
 		Row{Name: "latency p50 / p99 / max", Value: fmt.Sprintf("%s / %s / %s", millis(c.Succeeded.P50),
 			millis(c.Succeeded.P99), millis(c.Succeeded.Max))},
-		Row{Name: "tries a call", Value: fmt.Sprintf("%.2f", float64(c.Total.Tries)/float64(max(c.Total.Calls, 1)))},
+		Row{Name: "tries a call", Value: fmt.Sprintf("%.2f", float64(c.Total.Tries)/float64(max(c.Total.Calls,
+			1)))},
 		Row{Name: "dispatchers' CPU", Value: fmt.Sprintf("%.2f s", cpu(r))},
 	)
 	g := Row{Name: "generator", Value: "kept to its schedule"}
@@ -119,7 +120,8 @@
 			fmt.Fprintf(&b, "  ... %d more in %s\n", len(r.Breaches)-n, "result.json")
 			break
 		}
-		fmt.Fprintf(&b, "  broken: %s: invocation %s (%s), dispatcher %d, worker %d, at %.3f s: %s\n", br.Rule, br.ID,
+		fmt.Fprintf(&b, "  broken: %s: invocation %s (%s), dispatcher %d, worker %d, at %.3f s: %s\n", br.Rule,
+			br.ID,
 			br.Operation, br.Dispatcher, br.Worker, br.At.Seconds(), br.What)
 	}
 	for _, f := range r.Failures {
@@ -138,31 +140,39 @@
 body{font:15px/1.45 system-ui,sans-serif;max-width:62rem;margin:2rem auto;padding:0 1rem;color:#222}
 table{border-collapse:collapse;margin:.6rem 0 1.4rem}td,th{padding:.2rem .9rem .2rem 0;text-align:left;
 border-bottom:1px solid #e4e4e4;font-variant-numeric:tabular-nums}td.n,th.n{text-align:right}
-.bad{color:#b3261e;font-weight:600}svg{max-width:100%;height:auto;margin:.4rem 0}.two{display:flex;gap:4rem;flex-wrap:wrap}
+.bad{color:#b3261e;font-weight:600}svg{max-width:100%;height:auto;margin:.4rem 0}
+.two{display:flex;gap:4rem;flex-wrap:wrap}
 .note{color:#666}
 </style></head><body>
 <h1>{{.Name}}</h1>
-<p>{{.Policy}}{{with .Fault}}, broken on purpose: {{.}}{{end}} &middot; seed {{.Seed}} &middot; {{.Began}} &middot;
+<p>{{.Policy}}{{with .Fault}}, broken on purpose: {{.}}{{end}} &middot; seed {{.Seed}} &middot; {{.Began}}
+ &middot;
 {{.Long}} s &middot; {{len .Dispatchers}} dispatchers, {{len .Workers}} workers, on {{.Cores}} cores
 {{if .Partial}}&middot; <span class="bad">partial: interrupted</span>{{end}}</p>
-<p class="note">Workers, list service, peer network and clients are stand-ins on loopback; the dispatchers are real
-processes.</p>
-<div class="two"><table>{{range .Table}}<tr><td>{{.Name}}</td><td{{if .Bad}} class="bad"{{end}}>{{.Value}}</td></tr>
+<p class="note">Workers, list service, peer network and clients are stand-ins on loopback; the dispatchers are
+real processes.</p>
+<div class="two"><table>{{range .Table}}<tr><td>{{.Name}}</td><td{{if .Bad}} class="bad"{{end}}>{{.Value}}
+</td></tr>
 {{end}}</table>
-<table>{{range .Rules}}<tr><td>{{.Name}}</td><td{{if .Bad}} class="bad"{{end}}>{{.Value}}</td></tr>{{end}}</table></div>
-{{with .Troubles}}<h2>Troubles</h2><table>{{range $n, $m := .}}<tr><td>{{inc $n}}</td><td>{{s .From}} to {{s .To}}</td>
+<table>{{range .Rules}}<tr><td>{{.Name}}</td><td{{if .Bad}} class="bad"{{end}}>{{.Value}}</td></tr>{{end}}
+</table></div>
+{{with .Troubles}}<h2>Troubles</h2><table>{{range $n, $m := .}}<tr><td>{{inc $n}}</td><td>{{s .From}}
+ to {{s .To}}</td>
 <td>{{.What}}</td></tr>{{end}}</table>{{end}}
 {{range .Charts}}{{.}}
 {{end}}
 <h2>Operations</h2><table><tr><th>operation</th><th class="n">calls</th><th class="n">in time</th>
 <th class="n">billed value</th><th class="n">p50</th><th class="n">p99</th><th class="n">max</th></tr>
 {{range .Calls.Operations}}<tr><td>{{.Name}}</td><td class="n">{{.Calls}}</td><td class="n">{{.InTime}}</td>
-<td class="n">{{pct .ValueShare}}</td>{{with .Latency}}<td class="n">{{ms .P50}}</td><td class="n">{{ms .P99}}</td>
+<td class="n">{{pct .ValueShare}}</td>{{with .Latency}}<td class="n">{{ms .P50}}</td><td class="n">{{ms .P99}}
+</td>
 <td class="n">{{ms .Max}}</td>{{end}}</tr>{{end}}</table>
-{{with .Calls.Customers}}<h2>Customers</h2><table><tr><th>customer</th><th class="n">calls</th><th class="n">in time</th>
+{{with .Calls.Customers}}<h2>Customers</h2><table><tr><th>customer</th><th class="n">calls</th>
+<th class="n">in time</th>
 <th class="n">billed value</th></tr>{{range .}}<tr><td>{{.Name}}</td><td class="n">{{.Calls}}</td>
 <td class="n">{{.InTime}}</td><td class="n">{{pct .ValueShare}}</td></tr>{{end}}</table>{{end}}
-<h2>Dispatchers</h2><table><tr><th>name</th><th class="n">lives</th><th class="n">tries</th><th class="n">CPU</th></tr>
+<h2>Dispatchers</h2><table><tr><th>name</th><th class="n">lives</th><th class="n">tries</th><th class="n">CPU
+</th></tr>
 {{range .Dispatchers}}<tr><td>{{.Name}}</td><td class="n">{{.Lives}}</td><td class="n">{{.Tries}}</td>
 <td class="n">{{printf "%.2f s" .CPU}}</td></tr>{{end}}</table>
 {{with .Breaches}}<h2 class="bad">Broken rules</h2><table>{{range .}}<tr><td>{{.Rule}}</td><td>{{.ID}}</td>
--- /dev/null
+++ b/internal/lab/report/report_test.go
@@ -0,0 +1,66 @@
+package report
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"canvasroute/internal/lab/experiment"
+	"canvasroute/internal/lab/ledger"
+	"canvasroute/internal/lab/measure"
+	"canvasroute/internal/lab/trouble"
+)
+
+// run is a result with one figure of its own.
+func run(seed uint64, inTime int) *experiment.Result {
+	rec := measure.New(time.Second, 1, 0)
+	for n := range 100 {
+		rec.Record(measure.Call{Intended: time.Duration(n) * 30 * time.Millisecond, Kind: ledger.Succeeded,
+			Ended: time.Duration(n+1) * 30 * time.Millisecond, InTime: n < inTime, Tries: 1, Asked: 1})
+	}
+	return &experiment.Result{Name: "test <b>", Seed: seed, Policy: "canvasroute", Long: 3, Schedule: "s",
+		Calls: rec.Summary([]string{"safe"}, nil), Rules: map[string]int{},
+		Workers:     []experiment.WorkerResult{{Name: "w0", BySlot: []float64{1, 2, 3}}, {Name: "w1", BySlot: []float64{0, 0, 1}, Done: 1}},
+		Dispatchers: []experiment.ProcessResult{{Name: "d0", CPU: 0.5}},
+		Troubles:    []trouble.Mark{{From: time.Second, To: 2 * time.Second, What: "1 workers crash"}}}
+}
+
+func TestPageShowsFiguresTroublesAndBreaches(t *testing.T) {
+	r := run(7, 90)
+	r.Rules[string(ledger.RuleNoneLost)] = 1
+	r.Breaches = []ledger.Breach{{Rule: ledger.RuleNoneLost, ID: "deadbeef", What: "no answer"}}
+	path, err := Write(r, t.TempDir())
+	assert.NoError(t, err)
+	b, err := os.ReadFile(path)
+	assert.NoError(t, err)
+	page := string(b)
+	for _, want := range []string{"test &lt;b&gt;", "90 (90.0%)", "1 workers crash", "deadbeef", "broken 1 times", "0.50 s"} {
+		assert.Contains(t, page, want)
+	}
+	assert.Equal(t, 4, strings.Count(page, "<svg"))
+	assert.Equal(t, 4, strings.Count(page, "</svg>"))
+	assert.Contains(t, Text(r), "invocation deadbeef")
+}
+
+func TestCompareGivesAVerdictOnlyBeyondTheSpread(t *testing.T) {
+	sure := Compare("a", "b", []*experiment.Result{run(1, 50), run(2, 52)}, []*experiment.Result{run(1, 90), run(2, 92)})
+	line := func(text, name string) string {
+		for l := range strings.Lines(text) {
+			if strings.HasPrefix(l, name) {
+				return l
+			}
+		}
+		return ""
+	}
+	assert.Contains(t, line(sure, "in time %"), "B better")
+	assert.Contains(t, line(sure, "in time %"), "+40.000")
+	assert.NotContains(t, line(sure, "succeeded %"), "B ")
+	wide := Compare("a", "b", []*experiment.Result{run(1, 10), run(2, 90)}, []*experiment.Result{run(1, 50), run(2, 70)})
+	assert.NotContains(t, line(wide, "in time %"), "B better")
+	alone := Compare("a", "b", []*experiment.Result{run(1, 10)}, []*experiment.Result{run(1, 90)})
+	assert.Contains(t, alone, "a single run on a side has no spread")
+	assert.NotContains(t, line(alone, "in time %"), "B better")
+}
--- a/internal/lab/rival/proxy.go
+++ b/internal/lab/rival/proxy.go
@@ -6,8 +6,8 @@
 	"net/url"
 )
 
-// proxy is the standard library's reverse proxy over the listed workers in turn. It knows nothing of retries, and
-// passes a worker's lines through as they are: it is there for its cost alone.
+// proxy is the standard library's reverse proxy over the listed workers in turn. It knows nothing of retries,
+// and passes a worker's lines through as they are: it is there for its cost alone.
 func (r *rival) proxy() http.Handler {
 	return &httputil.ReverseProxy{Transport: r.transport, Rewrite: func(p *httputil.ProxyRequest) {
 		b := r.choose(nil)
--- a/internal/lab/rival/rival.go
+++ b/internal/lab/rival/rival.go
@@ -1,6 +1,6 @@
 // Package rival has the dispatchers that the lab compares with: plain policies as baselines, the standard
-// library's reverse proxy, and dispatchers that are broken on purpose, one for each rule, to show that the ledger
-// catches them. None of it is used outside the lab.
+// library's reverse proxy, and dispatchers that are broken on purpose, one for each rule, to show that the
+// ledger catches them. None of it is used outside the lab.
 package rival
 
 import (
@@ -32,8 +32,8 @@
 	"canvasroute/internal/routing"
 )
 
-// Policies are the baselines.
-var Policies = []string{"random", "round-robin", "least-outstanding", "reverse-proxy"}
+// Policies are the baselines, and what takes the place of a dispatcher to measure the lab itself.
+var Policies = []string{"random", "round-robin", "least-outstanding", "reverse-proxy", "null-server"}
 
 // Faults are the ways in which a dispatcher can be broken.
 var Faults = []string{"double-forward", "lost-answer", "drain-ignored", "cold-push"}
@@ -91,15 +91,19 @@
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.Cores))))
 	transport := &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: p.Idle / 4, DisableCompression: true,
 		DialContext: (&net.Dialer{Timeout: p.Routing.DialWithin}).DialContext}
-	r := &rival{terms: t, placement: p, transport: transport, client: &http.Client{Transport: transport}, log: log}
+	r := &rival{terms: t, placement: p, transport: transport, client: &http.Client{Transport: transport},
+		log: log}
 	if p.Routing.Known != nil {
 		r.take(p.Routing.Known)
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/_health", r.health)
-	if t.Policy == "reverse-proxy" {
+	switch t.Policy {
+	case "reverse-proxy":
 		mux.Handle("/api", r.proxy())
-	} else {
+	case "null-server": // it answers at once, without any worker: what then limits is the load generator
+		mux.HandleFunc("POST /api", func(http.ResponseWriter, *http.Request) {})
+	default:
 		mux.HandleFunc("POST /api", r.serve)
 	}
 	server := &http.Server{Addr: p.Listen, Handler: mux, ReadHeaderTimeout: 5 * time.Second}
@@ -251,7 +255,8 @@
 	return b.state == protocol.Ready || r.terms.Fault == "drain-ignored" && b.state != ""
 }
 
-// serve carries one invocation through, by rules of thumb that keep the four rules where no fault is asked for.
+// serve carries one invocation through, by rules of thumb that keep the four rules where no fault is asked
+// for.
 func (r *rival) serve(w http.ResponseWriter, ask *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(ask.Body, protocol.MostBody))
 	if err != nil {
@@ -286,7 +291,8 @@
 	io.WriteString(w, result)
 }
 
-func (r *rival) carry(ctx context.Context, ask *http.Request, body []byte, repeat decide.Repeat) (int, string) {
+func (r *rival) carry(ctx context.Context, ask *http.Request, body []byte, repeat decide.Repeat) (int,
+	string) {
 	var tried []*backend
 	mayHaveRun := false
 	for range forwardsMost {
@@ -318,7 +324,8 @@
 	return http.StatusTooManyRequests, ""
 }
 
-func (r *rival) forward(ctx context.Context, b *backend, ask *http.Request, body []byte) (decide.Outcome, string) {
+func (r *rival) forward(ctx context.Context, b *backend, ask *http.Request, body []byte) (decide.Outcome,
+	string) {
 	defer func() {
 		r.mu.Lock()
 		b.out--
--- a/internal/lab/sender/front.go
+++ b/internal/lab/sender/front.go
@@ -1,5 +1,5 @@
-// Package sender is the lab's load generator on sockets. It is open-loop: each call goes out at its time, however
-// many are still open, and what it could not send on time it reports.
+// Package sender is the lab's load generator on sockets. It is open-loop: each call goes out at its time,
+// however many are still open, and what it could not send on time it reports.
 package sender
 
 import (
@@ -12,8 +12,8 @@
 	"time"
 )
 
-// Front deals calls out among dispatchers, as the front before a tier does: it takes one in once its health is
-// good, and notices only after a while that one has died.
+// Front deals calls out among dispatchers, as the front before a tier does: it takes one in once its health
+// is good, and notices only after a while that one has died.
 type Front struct {
 	addresses []string
 	notice    time.Duration
@@ -34,11 +34,12 @@
 	askWithin = time.Second
 )
 
-// NewFront makes a front before dispatchers at these addresses, which notices a death after some time. None is
-// taken in yet.
+// NewFront makes a front before dispatchers at these addresses, which notices a death after some time. None
+// is taken in yet.
 func NewFront(addresses []string, notice time.Duration) *Front {
 	n := len(addresses)
-	return &Front{addresses: addresses, notice: notice, health: &http.Client{Transport: &http.Transport{}}, in: make([]bool, n), good: make([]time.Time, n),
+	return &Front{addresses: addresses, notice: notice, health: &http.Client{Transport: &http.Transport{}},
+		in: make([]bool, n), good: make([]time.Time, n),
 		idle: make([][]*conn, n), gen: make([]int, n)}
 }
 
--- a/internal/lab/sender/sender.go
+++ b/internal/lab/sender/sender.go
@@ -34,8 +34,8 @@
 	open atomic.Int64
 }
 
-// Run sends each arrival at its time, and returns when all calls are over. When ctx ends, what has not been sent
-// is left, and what is open counts as interrupted.
+// Run sends each arrival at its time, and returns when all calls are over. When ctx ends, what has not been
+// sent is left, and what is open counts as interrupted.
 func (s *Sender) Run(ctx context.Context, schedule []load.Arrival) {
 	var calls sync.WaitGroup
 	defer calls.Wait()
@@ -102,8 +102,8 @@
 	s.Recorder.Record(c)
 }
 
-// again tells whether a client tries once more: always where it was sent away, else only where the operation may
-// run again.
+// again tells whether a client tries once more: always where it was sent away, else only where the operation
+// may run again.
 func again(k ledger.Kind, o *load.Operation) bool {
 	switch k {
 	case ledger.Throttled, ledger.Unreachable:
@@ -114,8 +114,8 @@
 	return false
 }
 
-// pause waits before a retry as long as the answer says, or between once and twice the usual wait. The chance in
-// it guards against clients that all come back at once.
+// pause waits before a retry as long as the answer says, or between once and twice the usual wait. The chance
+// in it guards against clients that all come back at once.
 func (s *Sender) pause(ctx context.Context, n, try int, comeBack time.Duration) bool {
 	wait := comeBack
 	if more := unit.Chance(s.Seed, fmt.Sprint("retry ", n, " ", try)).Float64(); wait == 0 {
@@ -140,7 +140,7 @@
 	message := s.message(id, a, o, try > 0)
 	got, crossed := s.exchange(ctx, record, d, message, false)
 	if crossed { // the dispatcher closed it between two messages: once more on a new one
-		s.Ledger.Moved(record, d)
+		s.Ledger.Moved(record, s.Clock())
 		got, _ = s.exchange(ctx, record, d, message, true)
 	}
 	s.Ledger.Ended(record, got.kind, got.status, got.result, s.Clock())
--- a/internal/lab/sender/sender_test.go
+++ b/internal/lab/sender/sender_test.go
@@ -48,10 +48,10 @@
 	return schedule
 }
 
-// Guards against coordinated omission: a server that stands still from 0.5 s to 1.5 s must cost each of the 200
-// calls that were due meanwhile the rest of that time. By hand: of 400 calls in 2 s, 5 ms apart, call k of the
-// pause waits 1000 - 5k ms; p99 is the 396th, which leaves four above it, so 980 ms; p90 the 360th, so 800 ms;
-// p50 the 200th, the last one that did not wait.
+// Guards against coordinated omission: a server that stands still from 0.5 s to 1.5 s must cost each of the
+// 200 calls that were due meanwhile the rest of that time. By hand: of 400 calls in 2 s, 5 ms apart, call k
+// of the pause waits 1000 - 5k ms; p99 is the 396th, which leaves four above it, so 980 ms; p90 the 360th, so
+// 800 ms; p50 the 200th, the last one that did not wait.
 func TestLatencyCountsFromTheIntendedTimeThroughAPause(t *testing.T) {
 	began := time.Now()
 	var from, to = began.Add(500 * ms), began.Add(1500 * ms)
@@ -73,8 +73,8 @@
 	assert.EqualValues(t, 400, got.Total.Answers["succeeded"])
 }
 
-// Guards against a backlog that is hidden: a dispatcher whose process stands still is still sent to, and what it
-// does not answer is counted, each with its whole wait.
+// Guards against a backlog that is hidden: a dispatcher whose process stands still is still sent to, and what
+// it does not answer is counted, each with its whole wait.
 func TestStalledDispatcherIsStillSentTo(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0") // nobody ever accepts: the kernel does
 	assert.NoError(t, err)
@@ -90,7 +90,10 @@
 }
 
 func TestGeneratorThatMayNotKeepUpSaysSo(t *testing.T) {
-	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(50 * ms) }))
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter,
+		*http.Request) {
+		time.Sleep(50 * ms)
+	}))
 	defer server.Close()
 	s := senderTo(strings.TrimPrefix(server.URL, "http://"))
 	s.MostOpen = 2
--- a/internal/lab/trouble/timeline.go
+++ b/internal/lab/trouble/timeline.go
@@ -1,5 +1,6 @@
-// Package trouble turns the troubles of an experiment file into a timeline of single actions. It does no I/O: the
-// workers and dispatchers that a trouble meets are drawn from the seed, and the lab carries the actions out.
+// Package trouble turns the troubles of an experiment file into a timeline of single actions. It does no I/O:
+// the workers and dispatchers that a trouble meets are drawn from the seed, and the lab carries the actions
+// out.
 package trouble
 
 import (
--- a/internal/lab/trouble/timeline_test.go
+++ b/internal/lab/trouble/timeline_test.go
@@ -9,8 +9,9 @@
 	"canvasroute/internal/lab/unit"
 )
 
-var world = World{Workers: 6, Zones: []string{"north", "south"}, ZoneOf: []int{0, 1, 0, 1, 0, 1}, Dispatchers: 3,
-	Customers: []string{"uni", "polit"}}
+var world = World{Workers: 6, Zones: []string{"north", "south"}, ZoneOf: []int{0, 1, 0, 1, 0, 1},
+	Dispatchers: 3,
+	Customers:   []string{"uni", "polit"}}
 
 const sec = unit.Span(time.Second)
 
--- a/internal/lab/unit/unit.go
+++ b/internal/lab/unit/unit.go
@@ -27,8 +27,8 @@
 // D is the span for the standard library.
 func (s Span) D() time.Duration { return time.Duration(s) }
 
-// Chance is a stream of random figures drawn from a seed and a name, so that one stream that is drawn from more
-// often leaves the others as they were. Source: the standard library's PCG.
+// Chance is a stream of random figures drawn from a seed and a name, so that one stream that is drawn from
+// more often leaves the others as they were. Source: the standard library's PCG.
 func Chance(seed uint64, stream string) *rand.Rand {
 	h := fnv.New64a()
 	h.Write([]byte(stream))
--- a/internal/lab/worker/exchange.go
+++ b/internal/lab/worker/exchange.go
@@ -34,8 +34,8 @@
 	last          bool
 }
 
-// wire is one connection of a dispatcher. While a forward runs, a goroutine watches for what comes next: the end
-// of the connection, by which a dispatcher gives the forward up, or the next message.
+// wire is one connection of a dispatcher. While a forward runs, a goroutine watches for what comes next: the
+// end of the connection, by which a dispatcher gives the forward up, or the next message.
 type wire struct {
 	net.Conn
 	in    *bufio.Reader
@@ -136,7 +136,8 @@
 	if !life.gate() {
 		return false
 	}
-	text := fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n", status, http.StatusText(status), fields,
+	text := fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n", status, http.StatusText(status),
+		fields,
 		len(body))
 	_, err := c.Write(append([]byte(text), body...))
 	return err == nil
@@ -192,8 +193,8 @@
 
 var ends = map[string]ledger.End{"done": ledger.Done, "returned": ledger.Returned, "lost": ledger.Crashed}
 
-// finish writes the last line and the end of the chunks. The ledger has it before a byte leaves: else an answer
-// could be seen before it was made.
+// finish writes the last line and the end of the chunks. The ledger has it before a byte leaves: else an
+// answer could be seen before it was made.
 func (s *Server) finish(c net.Conn, out []byte, e *exchange, l line, life *life) bool {
 	if !life.gate() {
 		return false
--- a/internal/lab/worker/group.go
+++ b/internal/lab/worker/group.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Group drops repeats among the workers that share it: within the window from the start of a first one, others
-// under the same key don't run. Many machines use it at once.
+// Group drops repeats among the workers that share it: within the window from the start of a first one,
+// others under the same key don't run. Many machines use it at once.
 type Group struct {
 	window time.Duration
 
--- a/internal/lab/worker/machine.go
+++ b/internal/lab/worker/machine.go
@@ -1,5 +1,5 @@
-// Package worker is a stand-in for the platform's workers. The machine in this file does no I/O and has no clock:
-// it is told the time, and says what has happened by then. The server puts one on sockets.
+// Package worker is a stand-in for the platform's workers. The machine in this file does no I/O and has no
+// clock: it is told the time, and says what has happened by then. The server puts one on sockets.
 package worker
 
 import (
@@ -144,8 +144,8 @@
 	return m.born + time.Duration(math.Ceil(age*1e9))
 }
 
-// Pace sets the part of its speed that the machine has from now on: less than 1 for a slow one or one that other
-// programs share, 0 for one that stands still.
+// Pace sets the part of its speed that the machine has from now on: less than 1 for a slow one or one that
+// other programs share, 0 for one that stands still.
 func (m *Machine) Pace(now time.Duration, pace float64) []Event {
 	events := m.Advance(now)
 	m.pace = pace
--- a/internal/lab/worker/server.go
+++ b/internal/lab/worker/server.go
@@ -359,8 +359,8 @@
 	l.rouse()
 }
 
-// Cut cuts its machine off the network, or lets it back: it works, open connections are silent, and new ones do
-// not come up.
+// Cut cuts its machine off the network, or lets it back: it works, open connections are silent, and new ones
+// do not come up.
 func (s *Server) Cut(off bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/lab/worker/server_test.go
+++ b/internal/lab/worker/server_test.go
@@ -53,7 +53,8 @@
 	if operation == 1 {
 		key = "Idempotency-Key: k\r\n"
 	}
-	_, err := fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, key,
+	_, err := fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		id, key,
 		len(body), body)
 	assert.NoError(c.t, err)
 }
