Index workers with room and open invocations, so that decisions cost the same at any size

Cause: an end went through all open and held invocations, each placing through the whole ring for an idle worker and through the part for its mean in flight, and the check for a peer-told worker through the part.

Change: seats.go keeps, for each part, the places of workers, a bit for each that may have room, and the forwards out; landed.go keeps what is open in order, with gaps. Neither decides: a bit is cleared only where nothing but a change to the worker could make it idle. Where a worker's forwards tie with the margin, the mean is summed as before, since its rounding decided. Held invocations are looked for only if they are held.

Each touch of the index left out breaks the test of random lives.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -77,7 +77,7 @@
 	o.landed, o.asked, d.landings = o.landed+1, o.asked+float64(i.size), d.landings+1
 	o.density = o.value / math.Pow(max(o.mean, 1), d.perInv)
 	d.worth += o.density * float64(i.size)
-	d.open = append(d.open, inv)
+	d.addOpen(inv)
 	d.hold(inv)
 	d.room, d.sweepAt = true, min(d.sweepAt, d.now+d.patience, i.timeout)
 }
@@ -88,6 +88,7 @@
 	if f := &d.invs[inv].forwards[n]; d.startNotes && f.out && f.started == 0 {
 		f.started, d.room = d.now, true
 		d.waiting[f.tgt]--
+		d.touch(f.tgt)
 		d.fits(f.tgt, d.load(f.tgt), d.now-f.sent < d.patience)
 	}
 }
@@ -95,7 +96,8 @@
 func (d *Dispatcher) Ended(inv Inv, n int, how Outcome, closed bool) {
 	i, f, w := &d.invs[inv], &d.invs[inv].forwards[n], d.invs[inv].forwards[n].tgt
 	f.out, f.ran, d.room = false, how != Full && how != NoConnection && how != Moot, true
-	i.out, d.own[w] = i.out-1, d.own[w]-1
+	i.out--
+	d.shift(w, -1)
 	d.note(w)
 	if f.started == 0 && d.startNotes {
 		d.waiting[w]--
@@ -187,11 +189,15 @@
 		}
 		d.parts[both] = append(d.parts[both], d.parts[l]...)
 	}
+	d.index(both)
 	for _, w := range d.ring {
-		if d.warmth(w) < 1 && d.rank(w) < d.keepers && !slices.Contains(d.parts[both], w) {
+		if d.warmth(w) < 1 && d.rank(w) < d.keepers && !d.within(both, w) {
 			d.parts[cold] = append(d.parts[cold], w)
 		}
 	}
+	for p := range d.parts {
+		d.index(p)
+	}
 }
 
 func (d *Dispatcher) Heard(from Peer, l Load) {
@@ -203,6 +209,7 @@
 	d.room = d.room || l.InFlight < heard[n].inFlight
 	d.others[l.Tgt] += l.InFlight - heard[n].inFlight
 	heard[n].inFlight, heard[n].at, d.heard[l.Tgt] = l.InFlight, d.now, heard
+	d.touch(l.Tgt)
 }
 
 // The rules, in order: when each is due, and what it does. After every input they are gone through from the
@@ -217,7 +224,7 @@
 		d.link.Subscribe()
 	}},
 	// Some open invocation may need its answer, or another forward.
-	{func(d *Dispatcher) Time { return when(len(d.open) > 0, d.sweepAt) }, (*Dispatcher).sweep},
+	{func(d *Dispatcher) Time { return when(d.open.live > 0, d.sweepAt) }, (*Dispatcher).sweep},
 	// Held invocations go where there is room.
 	{func(d *Dispatcher) Time { return when(d.room && len(d.held) > 0, d.now) }, (*Dispatcher).placeHeld},
 	// Load reports come with probes alone, and each has its price: one for so many landings.
@@ -227,7 +234,7 @@
 			d.link.Probe(d.ring[(d.position+d.landings/probeEvery)%len(d.ring)])
 		}},
 	// Messages get lost: now and then peers are told again, and the silent are forgotten.
-	{func(d *Dispatcher) Time { return when(d.peers && len(d.open) > 0, d.refreshAt) }, (*Dispatcher).refresh},
+	{func(d *Dispatcher) Time { return when(d.peers && d.open.live > 0, d.refreshAt) }, (*Dispatcher).refresh},
 	// Peers learn of changes in what is in flight here.
 	{func(d *Dispatcher) Time { return when(len(d.changed) > 0, d.tellAt) }, (*Dispatcher).tell},
 }
@@ -263,6 +270,7 @@
 		for _, h := range d.heard[w] {
 			d.others[w] += h.inFlight
 		}
+		d.touch(w)
 		if d.own[w] > 0 {
 			d.toldOf[w] = -1 // so that it is told again
 			d.note(w)
@@ -316,21 +324,16 @@
 }
 
 func (d *Dispatcher) rotate(i *invocation, p int, near bool) (Worker, bool) {
-	part, turn, mean, o := d.parts[p], &d.turn[p], 0.0, &d.ops[i.op]
-	for _, w := range part {
-		mean += float64(d.own[w]) / float64(len(part))
-	}
-	for k := range part {
-		w := part[(*turn+k)%len(part)]
+	o := &d.ops[i.op]
+	for n, w := range d.roomy(p) {
 		fit := (!near || d.workerZone[w] == d.zone) && (o.kind < 0 || o.kind == d.kind[w]) &&
 			(o.repeat != NonIdempotent || d.fails[w] == 0 || d.now >= d.trialAt[w]+8*Second) && // no trial by it
 			// A cold worker is slow: nothing goes there that would be late by it.
 			float64(i.size)*(1/d.warmth(w)-1-o.slack) <= float64(o.objective) &&
 			(p != cold || d.warmth(w) < 1) && // what is beyond a share leaves room to others:
 			float64(d.load(w)) < (1+i.counts)/2*d.slots[d.kind[w]]
-		if fit && d.idle(w) && float64(d.own[w]) <= passOver*max(mean, 0.5) &&
-			d.withinCold(w, i.size) && d.mayForward(i, w) {
-			*turn = (*turn + k + 1) % len(part)
+		if fit && d.idle(w) && !d.passedOver(p, w) && d.withinCold(w, i.size) && d.mayForward(i, w) {
+			d.turn[p] = (n + 1) % len(d.parts[p])
 			return w, true
 		}
 	}
@@ -342,7 +345,7 @@
 		(d.fails[w] == 0 || d.own[w] == 0) && float64(d.load(w)) < math.Round(d.slots[d.kind[w]]*d.warmth(w))
 }
 
-func (d *Dispatcher) told(w Worker) bool { return d.peers && slices.Contains(d.parts[both], w) }
+func (d *Dispatcher) told(w Worker) bool { return d.peers && d.within(both, w) }
 
 // rest keeps work from a worker, and from all unheard of if it is one of them: they may be full as well.
 func (d *Dispatcher) rest(w Worker, long Time) {
@@ -409,10 +412,11 @@
 
 func (d *Dispatcher) placeHeld() {
 	d.room = false
-	for n := 0; n < min(len(d.held), len(d.ring)) && slices.ContainsFunc(d.ring, d.idle); n++ {
+	for n := 0; n < min(len(d.held), len(d.ring)) && d.anyIdle(); n++ {
 		if w, ok := d.choose(&d.invs[d.held[n]]); ok {
-			d.forward(d.held[n], w)
-			d.held = slices.Delete(d.held, n, n+1)
+			inv := d.held[n]
+			d.held, d.invs[inv].held = slices.Delete(d.held, n, n+1), false
+			d.forward(inv, w)
 			n--
 		}
 	}
@@ -434,13 +438,14 @@
 
 func (d *Dispatcher) hold(inv Inv) {
 	n, _ := slices.BinarySearchFunc(d.held, inv, d.order)
-	d.held = slices.Insert(d.held, n, inv)
+	d.held, d.invs[inv].held = slices.Insert(d.held, n, inv), true
 }
 
 func (d *Dispatcher) forward(inv Inv, w Worker) {
 	i := &d.invs[inv]
 	i.forwards = append(i.forwards, forward{tgt: w, sent: d.now, out: true})
-	i.out, d.own[w] = i.out+1, d.own[w]+1
+	i.out++
+	d.shift(w, 1)
 	if d.startNotes {
 		d.waiting[w]++
 	}
@@ -452,8 +457,8 @@
 
 func (d *Dispatcher) sweep() {
 	d.sweepAt, d.room = d.now+d.patience, true
-	for n := len(d.open) - 1; n >= 0; n-- {
-		inv, i := d.open[n], &d.invs[d.open[n]]
+	for inv := range d.open.latest() {
+		i := &d.invs[inv]
 		f, hopeless := d.unstarted(i), i.latest+Time(hintTrust*d.ops[i.op].slack*float64(i.size))
 		switch {
 		case d.now >= i.timeout || i.out == 0 && d.now > i.latest, // also where no outcome comes, and where
@@ -529,10 +534,11 @@
 			d.link.Cancel(inv, n)
 		}
 	}
-	i.over = true
-	same := func(other Inv) bool { return other == inv }
-	d.held = slices.DeleteFunc(d.held, same)
-	d.open = slices.DeleteFunc(d.open, same)
+	if i.over = true; i.held {
+		n := slices.Index(d.held, inv)
+		d.held, i.held = slices.Delete(d.held, n, n+1), false
+	}
+	d.dropOpen(inv)
 }
 
 // fits takes a start at once, or a wait, at a load as a vote on the slots of a kind: as many are believed as
@@ -541,7 +547,7 @@
 	if d.atFree >= 0 || d.warmth(w) < 1 || d.peers && !d.told(w) { // reports tell, or others are not known
 		return
 	}
-	k, sum, best := d.kind[w], 0, 0
+	k, sum, best, slots := d.kind[w], 0, 0, d.slots[d.kind[w]]
 	d.votes[k] = append(d.votes[k], make([]int, max(0, max(load, slotsFirst)+1-len(d.votes[k])))...)
 	if d.votes[k][load]--; atOnce {
 		d.votes[k][load] += 2
@@ -551,9 +557,10 @@
 			d.most[k] = max(d.most[k], float64(n))
 		}
 		if sum, best = sum+v, max(best, sum+v); sum > best-2 {
-			d.slots[k] = max(d.most[k], float64(n))
+			slots = max(d.most[k], float64(n))
 		}
 	}
+	d.believe(k, slots)
 }
 
 // Reported takes the slots that a load report shows. Reports are late, so they say nothing of the load now.
@@ -567,7 +574,7 @@
 		slots += r[d.atInFlight] - r[d.atQueue]
 	}
 	d.most[k] = max(d.most[k], math.Round(slots))
-	d.slots[k] = d.most[k]
+	d.believe(k, d.most[k])
 }
 
 // counts weighs an invocation by its customer's traffic here: which ones go beyond the share nobody can know.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -82,7 +82,7 @@
 func TestOverTwiceTheMeanIsPassedOver(t *testing.T) {
 	d, _ := warmDispatcher(4, 1)
 	busy := d.ring[2]
-	d.own[busy] = 3
+	d.shift(busy, 3)
 	for range 8 {
 		w, ok := d.choose(&invocation{counts: 1, timeout: 200 * Second})
 		assert.True(t, ok)
@@ -438,6 +438,7 @@
 	}{{0, 50 * Second, 0, 1}, {0, 40 * Second, 0, 0}, {0, 50 * Second, 4, 0}, {1, 50 * Second, 0, 0}} {
 		d, _ := warmDispatcher(2, 1)
 		d.peers, d.parts[both] = true, d.ring
+		d.index(both)
 		d.Landed(0, Landing{Operation: c.op, Grace: 90 * Second, Hint: 1000})
 		d.Settle()
 		d.Started(0, 0)
--- a/decide/facade.go
+++ b/decide/facade.go
@@ -247,7 +247,7 @@
 func (f *Facade) EndBy(within Time) {
 	f.with(func(d *Dispatcher) {
 		f.endBy = min(f.endBy, d.now+within)
-		for _, inv := range d.open {
+		for inv := range d.open.latest() {
 			d.invs[inv].timeout = min(d.invs[inv].timeout, f.endBy-d.margin)
 			d.sweepAt = min(d.sweepAt, d.invs[inv].timeout)
 		}
--- a/decide/state.go
+++ b/decide/state.go
@@ -29,6 +29,8 @@
 	lane            int
 	forwards        []forward
 	out             int
+	held            bool // it waits for a worker
+	place           int  // in what is open
 }
 
 type spend struct {
@@ -77,10 +79,11 @@
 	quota                       []float64 // by Customer: landings a second here that count in full
 
 	// What is open, and which of it waits for a worker.
-	invs       []invocation
-	open, held []Inv
-	used       []float64 // by Customer: landings, the older the less
-	usedAt     []Time
+	invs   []invocation
+	open   landed
+	held   []Inv
+	used   []float64 // by Customer: landings, the older the less
+	usedAt []Time
 
 	// Figures about workers, by Worker.
 	hash                        []uint64
@@ -97,6 +100,7 @@
 	heard [][]hearing
 	keep  [][2]int // the peers to be told: from, to, round the number of them
 	parts [parts][]Worker
+	seats [parts]seats
 
 	slots, most []float64 // by Kind: slots believed, and the most seen at work
 	votes       [][]int   // by Kind and load: starts at once less waits
