Run an instance of the module for each whole core of a dispatcher

Need: one lock serialized all decisions of a process, and a second core brought next to nothing.

Invocations land in turn; the list and probes are asked for once; news for an instance of the same process goes in memory, without the teller's lock, whether or not datagrams may leave; a datagram names its instance in one byte where there are several. With one core nothing changes. A warm worker's budget is no longer summed, and past work is dropped from the front.

Three instances in each of two processes keep all rules in the lab, also with datagrams lost or barred.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -367,15 +367,17 @@
 // withinCold keeps to this dispatcher's part of what all may send a cold worker within the span. A part for
 // each of many would hold no invocation: so only the first few ranks have one, more by its age.
 func (d *Dispatcher) withinCold(w Worker, size Work) bool {
-	warmth, sent := d.warmth(w), size
-	for _, s := range d.spent[w] {
-		if s.at > d.now-d.span {
-			sent += s.work
-		}
+	warmth := d.warmth(w)
+	if warmth == 1 {
+		return true
+	}
+	sent := size
+	for _, s := range d.spentSince(w) {
+		sent += s.work
 	}
 	budget := d.multiple * warmth * d.most[d.kind[w]] * float64(d.span) * (1 - coldMargin)
 	ranks := min(max(math.Floor(budget/d.unit), 1), float64(d.dispatchers))
-	return warmth == 1 || d.rank(w) < int(ranks) && float64(sent) <= budget/ranks
+	return d.rank(w) < int(ranks) && float64(sent) <= budget/ranks
 }
 
 func (d *Dispatcher) rank(w Worker) int {
@@ -449,8 +451,7 @@
 	if d.startNotes {
 		d.waiting[w]++
 	}
-	past := func(s spend) bool { return s.at <= d.now-d.span }
-	d.spent[w] = append(slices.DeleteFunc(d.spent[w], past), spend{d.now, i.size})
+	d.spent[w] = append(d.spentSince(w), spend{d.now, i.size})
 	d.note(w)
 	d.link.Forward(inv, w, 0)
 }
--- a/decide/seats.go
+++ b/decide/seats.go
@@ -112,6 +112,17 @@
 	return true
 }
 
+// spentSince is what went to a worker within the span, in the order of time, so that what is past is at the front. It
+// is kept for warm workers too: one may have restarted, and nobody knows it yet.
+func (d *Dispatcher) spentSince(w Worker) []spend {
+	s := d.spent[w]
+	for len(s) > 0 && s[0].at <= d.now-d.span {
+		s = s[1:]
+	}
+	d.spent[w] = s
+	return s
+}
+
 // anyIdle tells whether some worker is idle.
 func (d *Dispatcher) anyIdle() bool {
 	return !d.scan(all, 0, len(d.ring), func(_ int, w Worker) bool { return !d.idle(w) })
--- a/internal/lab/command/lab_test.go
+++ b/internal/lab/command/lab_test.go
@@ -90,7 +90,11 @@
 `
 
 func play(t *testing.T, policy, fault string) *experiment.Result {
-	p, err := experiment.Parse("short.toml", fmt.Appendf(nil, short, policy, fault))
+	return playFile(t, fmt.Sprintf(short, policy, fault))
+}
+
+func playFile(t *testing.T, text string) *experiment.Result {
+	p, err := experiment.Parse("short.toml", []byte(text))
 	assert.NoError(t, err)
 	self, err := os.Executable()
 	assert.NoError(t, err)
@@ -144,6 +148,20 @@
 	}
 }
 
+// Several instances in each of two processes share drains and the cold worker's budget with all the others, also
+// where datagrams between processes are not allowed or are lost.
+func TestInstancesOfSeveralProcessesKeepTheRulesTogether(t *testing.T) {
+	for name, peers := range map[string]string{"told": "", "lossy": "peer-loss = 0.5\n", "untold": "peers = false\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			text := fmt.Sprintf(short, experiment.Canvasroute, "")
+			r := playFile(t, strings.Replace(text, "count = 2\n", "count = 2\ncores = 3\n"+peers, 1))
+			assert.Empty(t, r.Breaches)
+			assert.Greater(t, r.Calls.Total.Answers["succeeded"], r.Calls.Total.Calls*8/10)
+		})
+	}
+}
+
 // lab starts canvaslab as a process of its own.
 func lab(t *testing.T, args ...string) (*exec.Cmd, *bytes.Buffer) {
 	self, err := os.Executable()
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -56,7 +56,8 @@
 	base := decide.Time(start.UnixMicro() / 100)
 	clock := func() decide.Time { return base + decide.Time(time.Since(start)/(time.Second/decide.Second)) }
 	p.Routing.FromUnix = func(ms float64) decide.Time { return decide.Time(ms * 10) }
-	facade := decide.NewFacade(p.Decisions, p.Seed, clock, func(line string) { log.Warn().Msg(line) })
+	facade := decide.NewInstances(p.Decisions, p.instances(), p.Seed, clock,
+		func(line string) { log.Warn().Msg(line) })
 
 	pool := transport.NewPool(room.workers, p.Idle, log)
 	datagrams, err := peerSocket(p)
--- a/internal/program/room.go
+++ b/internal/program/room.go
@@ -11,6 +11,12 @@
 	ownSockets  = 24 // listener, datagrams, the list, standard streams, the poller, and some in passing
 )
 
+// mostInstances bounds the instances of the module: their number goes over the wire in a byte.
+const mostInstances = 64
+
+// instances is how many of the module this process runs: one for each whole core.
+func (p *Placement) instances() int { return min(max(int(p.Cores), 1), mostInstances) }
+
 // room is what each sort of connection may use, in all.
 type room struct {
 	clients, workers int
--- a/internal/protocol/lines_test.go
+++ b/internal/protocol/lines_test.go
@@ -77,14 +77,17 @@
 }
 
 func TestDatagrams(t *testing.T) {
-	b := AppendNews(nil, 0xfffe, []Load{{Tag("s-1"), 3}, {Tag("s-2"), 300}})
-	at, loads, err := ParseNews(b)
-	assert.NoError(t, err)
-	assert.Equal(t, uint16(0xfffe), at)
-	assert.Equal(t, []Load{{Tag("s-1"), 3}, {Tag("s-2"), 255}}, loads)
-	assert.LessOrEqual(t, len(AppendNews(nil, 0, make([]Load, 1000))), 256, "no longer one may leave")
-	for _, n := range []int{0, 1, 3, 4, 6, 7, 257} { // 2 is a greeting
-		_, _, err := ParseNews(make([]byte, n))
+	for _, from := range []int{Alone, 3} {
+		b := AppendNews(nil, 0xfffe, from, []Load{{Tag("s-1"), 3}, {Tag("s-2"), 300}})
+		at, instance, loads, err := ParseNews(b)
+		assert.NoError(t, err)
+		assert.Equal(t, []any{uint16(0xfffe), max(from, 0)}, []any{at, instance})
+		assert.Equal(t, []Load{{Tag("s-1"), 3}, {Tag("s-2"), 255}}, loads)
+		most := AppendNews(nil, 0, from, make([]Load, 1000))
+		assert.LessOrEqual(t, len(most), 256, "no longer one may leave")
+	}
+	for _, n := range []int{0, 1, 4, 7, 257} { // 2 is a greeting; 3 and 6 name an instance
+		_, _, _, err := ParseNews(make([]byte, n))
 		assert.ErrorIs(t, err, ErrDatagram, n)
 	}
 }
--- a/internal/protocol/news.go
+++ b/internal/protocol/news.go
@@ -8,16 +8,20 @@
 	"canvasroute/internal/terms"
 )
 
+// Alone stands for the only instance of a process, which its datagrams need not name.
+const Alone = -1
+
 // A datagram holds the low bits of the time of sending in milliseconds, and for each worker that it tells of
 // the tag of its name and how many forwards are out there. One that tells of none says that its sender has
-// just started.
+// just started. Where a process has several instances, a byte after the time names the one that tells.
 const (
-	stampBytes = 2
-	loadBytes  = 3
+	stampBytes    = 2
+	loadBytes     = 3
+	instanceBytes = 1
 )
 
 // MostNews is how many loads one datagram holds.
-const MostNews = (terms.MessageMost - stampBytes) / loadBytes
+const MostNews = (terms.MessageMost - stampBytes - instanceBytes) / loadBytes
 
 // ErrDatagram is a datagram that is not of this protocol.
 var ErrDatagram = errors.New("malformed datagram")
@@ -35,23 +39,29 @@
 	return uint16(h.Sum32() ^ h.Sum32()>>16)
 }
 
-// AppendNews writes a datagram, of MostNews loads at most.
-func AppendNews(b []byte, stamp uint16, loads []Load) []byte {
+// AppendNews writes a datagram, of MostNews loads at most, of an instance or Alone.
+func AppendNews(b []byte, stamp uint16, instance int, loads []Load) []byte {
 	b = binary.BigEndian.AppendUint16(b, stamp)
+	if instance != Alone {
+		b = append(b, byte(instance))
+	}
 	for _, l := range loads[:min(len(loads), MostNews)] {
 		b = append(binary.BigEndian.AppendUint16(b, l.Tag), byte(min(l.InFlight, 255)))
 	}
 	return b
 }
 
-// ParseNews reads a datagram.
-func ParseNews(b []byte) (stamp uint16, loads []Load, err error) {
-	if len(b) < stampBytes || len(b) > terms.MessageMost || (len(b)-stampBytes)%loadBytes != 0 {
-		return 0, nil, ErrDatagram
+// ParseNews reads a datagram. The instance is 0 where none is named.
+func ParseNews(b []byte) (stamp uint16, instance int, loads []Load, err error) {
+	if len(b) < stampBytes || len(b) > terms.MessageMost || (len(b)-stampBytes)%loadBytes > instanceBytes {
+		return 0, 0, nil, ErrDatagram
+	}
+	stamp, b = binary.BigEndian.Uint16(b), b[stampBytes:]
+	if len(b)%loadBytes == instanceBytes {
+		instance, b = int(b[0]), b[instanceBytes:]
 	}
-	stamp = binary.BigEndian.Uint16(b)
-	for b = b[stampBytes:]; len(b) > 0; b = b[loadBytes:] {
+	for ; len(b) > 0; b = b[loadBytes:] {
 		loads = append(loads, Load{binary.BigEndian.Uint16(b), int(b[2])})
 	}
-	return stamp, loads, nil
+	return stamp, instance, loads, nil
 }
--- a/internal/routing/forward_test.go
+++ b/internal/routing/forward_test.go
@@ -76,7 +76,7 @@
 // routerTo has one worker at an address, and two operations, the second one non-idempotent.
 func routerTo(addr string) *Router {
 	began := time.Now()
-	f := decide.NewFacade(decide.Terms{
+	f := decide.NewInstances(decide.Terms{
 		Dispatchers: 2, Kinds: 1, ForwardsMost: 1, MayCancel: true, Granularity: 20,
 		ReportInFlight: -1, ReportQueue: -1, ReportFree: -1,
 		Customers: []decide.CustomerTerms{{Quota: 1e9}},
@@ -85,7 +85,7 @@
 			{Objective: decide.Second, Value: 1, Kind: -1, Repeat: decide.NonIdempotent},
 			{Objective: decide.Second, Value: 1, Kind: -1, Repeat: decide.Deduplicated},
 		},
-	}, 1, func() decide.Time { return decide.Second + spanOf(time.Since(began)) }, func(string) {})
+	}, 1, 1, func() decide.Time { return decide.Second + spanOf(time.Since(began)) }, func(string) {})
 	known := protocol.Entry{ID: "w", Address: addr, State: protocol.Ready}
 	return New(Terms{
 		Operations: []Operation{{"idem", 2 * time.Second, false}, {"once", 2 * time.Second, false},
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -20,31 +20,55 @@
 	any bool
 }
 
-// tell sends peers what the decisions want told.
-func (r *Router) tell(ctx context.Context) error {
-	b := protocol.AppendNews(nil, uint16(time.Now().UnixMilli()), nil)
-	for n, peer := range r.terms.Peers { // a greeting
-		if n != r.terms.Position {
-			r.send(peer, b)
-		}
+// tell sends peers what the decisions of one instance want told.
+func (r *Router) tell(ctx context.Context, instance int) error {
+	if instance == 0 {
+		r.greet()
 	}
+	from := protocol.Alone
+	if r.facade.Count() > 1 {
+		from = instance
+	}
+	var b []byte
 	for {
-		news, err := r.facade.PickNews(ctx)
+		news, err := r.facade.PickNews(ctx, instance)
 		if err != nil {
 			return nil
 		}
 		at := uint16(time.Now().UnixMilli())
-		for _, n := range news {
-			for loads := range slices.Chunk(n.Loads, protocol.MostNews) {
-				told := make([]protocol.Load, len(loads))
-				for k, l := range loads {
-					told[k] = protocol.Load{Tag: r.fleet.tag(l.Tgt), InFlight: l.InFlight}
-				}
-				b = protocol.AppendNews(b[:0], at, told)
-				r.send(r.terms.Peers[n.To], b)
+		for process, all := range r.byProcess(news) {
+			for loads := range slices.Chunk(all, protocol.MostNews) {
+				b = protocol.AppendNews(b[:0], at, from, loads)
+				r.send(r.terms.Peers[process], b)
+			}
+		}
+	}
+}
+
+// greet tells all peers that this process has just started.
+func (r *Router) greet() {
+	b := protocol.AppendNews(nil, uint16(time.Now().UnixMilli()), protocol.Alone, nil)
+	for n, peer := range r.terms.Peers {
+		if n != r.terms.Position && r.datagrams != nil {
+			r.send(peer, b)
+		}
+	}
+}
+
+// byProcess gathers news for instances by the process that they are of, each worker once: all instances there hear
+// what comes.
+func (r *Router) byProcess(news []decide.News) map[int][]protocol.Load {
+	out := map[int][]protocol.Load{}
+	for _, n := range news {
+		process := int(n.To) / r.facade.Count()
+		for _, l := range n.Loads {
+			told := protocol.Load{Tag: r.fleet.tag(l.Tgt), InFlight: l.InFlight}
+			if r.facade.Count() == 1 || !slices.Contains(out[process], told) {
+				out[process] = append(out[process], told)
 			}
 		}
 	}
+	return out
 }
 
 func (r *Router) send(to netip.AddrPort, b []byte) {
@@ -58,27 +82,28 @@
 // hear takes a datagram. What is malformed, comes from strangers or was overtaken is dropped and counted.
 func (r *Router) hear(from netip.AddrPort, b []byte) {
 	n := slices.Index(r.terms.Peers, from)
-	at, loads, err := protocol.ParseNews(b)
+	at, instance, loads, err := protocol.ParseNews(b)
 	switch {
 	case n < 0 || n == r.terms.Position:
 		r.counts.Strangers.Add(1)
 		return
-	case err != nil:
+	case err != nil, instance >= r.facade.Count(): // of a process with more instances: that must not be
 		r.counts.DatagramsBroken.Add(1)
 		return
 	}
-	if back := r.heard[n].at - at; r.heard[n].any && len(loads) > 0 && back > 0 && back < overtaken {
+	peer := n*r.facade.Count() + instance
+	if back := r.heard[peer].at - at; r.heard[peer].any && len(loads) > 0 && back > 0 && back < overtaken {
 		r.counts.Overtaken.Add(1)
 		return
 	}
-	r.heard[n] = stamp{at, true}
+	r.heard[peer] = stamp{at, true}
 	r.counts.DatagramsHeard.Add(1)
 	if len(loads) == 0 {
-		r.facade.ReportPeerStarted(decide.Peer(n))
+		r.facade.ReportPeerStarted(n)
 	}
 	for _, l := range loads {
 		if w, known := r.fleet.byTag(l.Tag); known {
-			r.facade.ReportPeer(decide.Peer(n), decide.Load{Tgt: w, InFlight: l.InFlight})
+			r.facade.ReportPeer(decide.Peer(peer), decide.Load{Tgt: w, InFlight: l.InFlight})
 		}
 	}
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -39,7 +39,7 @@
 // Router answers invocations by way of workers.
 type Router struct {
 	terms      Terms
-	facade     *decide.Facade
+	facade     *decide.Instances
 	pool       *transport.Pool
 	datagrams  *transport.Datagrams // nil where dispatchers may not talk
 	log        zerolog.Logger
@@ -57,8 +57,8 @@
 }
 
 // New makes a router and gives the facade the list that it starts with.
-func New(t Terms, f *decide.Facade, p *transport.Pool, d *transport.Datagrams, log zerolog.Logger) *Router {
-	r := &Router{terms: t, facade: f, pool: p, datagrams: d, log: log, heard: make([]stamp, len(t.Peers)),
+func New(t Terms, f *decide.Instances, p *transport.Pool, d *transport.Datagrams, log zerolog.Logger) *Router {
+	r := &Router{terms: t, facade: f, pool: p, datagrams: d, log: log, heard: make([]stamp, len(t.Peers)*f.Count()),
 		place:      place{address: t.Discovery},
 		operations: map[string]decide.Operation{}, owners: map[string]decide.Customer{},
 		fleet: fleet{zones: numbered(t.Zones), kinds: numbered(t.Kinds), clock: t.FromUnix, log: log,
@@ -88,11 +88,15 @@
 // Run follows the list and talks to peers until ctx ends; then it waits for the forwards that are out.
 func (r *Router) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return r.facade.Tick(ctx) })
+	for j := range r.facade.Count() {
+		g.Go(func() error { return r.facade.Tick(ctx, j) })
+		if r.datagrams != nil || r.facade.Count() > 1 {
+			g.Go(func() error { return r.tell(ctx, j) })
+		}
+	}
 	g.Go(func() error { return r.follow(ctx) })
 	g.Go(func() error { return r.probes(ctx) })
 	if r.datagrams != nil {
-		g.Go(func() error { return r.tell(ctx) })
 		g.Go(func() error { return r.datagrams.Run(ctx, r.hear) })
 	}
 	err := g.Wait()
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -174,7 +174,7 @@
 	r := routerTo("127.0.0.1:1")
 	peer := r.terms.Peers[1]
 	news := func(at uint16) []byte {
-		return protocol.AppendNews(nil, at, []protocol.Load{{Tag: protocol.Tag("w"), InFlight: 3}})
+		return protocol.AppendNews(nil, at, protocol.Alone, []protocol.Load{{Tag: protocol.Tag("w"), InFlight: 3}})
 	}
 	r.hear(peer, news(5))
 	r.hear(peer, news(65530)) // sent before, by a clock that has gone round
@@ -197,13 +197,13 @@
 	r.datagrams, err = transport.ListenDatagrams(netip.MustParseAddrPort("127.0.0.1:0"))
 	assert.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	go r.tell(ctx)
+	go r.tell(ctx, 0)
 	defer cancel()
 	b := make([]byte, 256)
 	assert.NoError(t, peer.SetReadDeadline(time.Now().Add(5*time.Second)))
 	n, err := peer.Read(b)
 	assert.NoError(t, err)
-	_, loads, err := protocol.ParseNews(b[:n])
+	_, _, loads, err := protocol.ParseNews(b[:n])
 	assert.NoError(t, err)
 	assert.Empty(t, loads)
 	r.facade.ReportPeer(1, decide.Load{Tgt: 0, InFlight: 8})
