A door that throttles on the head alone while what comes waits to be read

Need: beyond what a core can decide everything was taken in, waited and came late; nothing was refused before its body was read and its decision made.

Change: internal/door, without I/O: beats tell how long what comes waits before it is read, and a standing delay lowers the part that is taken in; below 1,500 heads a second and core it never acts. routing sends the beats through a pipe to itself, which waits in the kernel's list like everything else.

--- a/internal/lab/experiment/plan.go
+++ b/internal/lab/experiment/plan.go
@@ -36,7 +36,6 @@
 	timeline    *trouble.Timeline // of the plan's own seed
 	trace       []load.Arrival
 	place       string // the file's folder, which a trace's name counts from
-	instant     bool   // workers do no work
 }
 
 // Dispatchers are the processes under test.
@@ -79,6 +78,7 @@
 	Progress     bool          `toml:"progress"`
 	Probes       bool          `toml:"probes"`
 	ListLag      unit.Span     `toml:"list-lag"`
+	Instant      bool          `toml:"instant"` // nothing runs: each job is done as it comes
 }
 
 // Load is what the generator sends.
--- a/internal/lab/experiment/saturate.go
+++ b/internal/lab/experiment/saturate.go
@@ -78,7 +78,7 @@
 // plan is a fleet that costs nothing, so that the dispatcher is all that is measured.
 func (s Saturation) plan(rate float64) (*Plan, error) {
 	p := usual()
-	p.Name, p.Seed, p.instant = "saturate", s.Seed, true
+	p.Name, p.Seed, p.Fleet.Instant = "saturate", s.Seed, true
 	d := &p.Dispatchers
 	d.Policy, d.Cores, d.MemoryMB, d.Sockets, d.Peers = s.Policy, s.Cores, 1024, 8192, false
 	p.Fleet.Kinds = []worker.Kind{{Name: "null", Cores: 64, Queue: 4096, Count: s.Workers}}
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -97,7 +97,7 @@
 	}
 	f := p.Fleet
 	w.fleet = worker.NewFleet(worker.Terms{Idle: f.Idle.D(), StartNotes: f.StartNotes, Progress: f.Progress,
-		Probes: f.Probes, Instant: p.instant, Cold: worker.Cold{From: f.ColdFrom, Ramp: f.ColdRamp.D(),
+		Probes: f.Probes, Instant: f.Instant, Cold: worker.Cold{From: f.ColdFrom, Ramp: f.ColdRamp.D(),
 			Multiple: f.ColdMultiple,
 			Span:     f.ColdSpan.D()}}, drops, w.ledger, w.clock, w.fell)
 	w.catalog = registry.NewCatalog(f.ListLag.D())
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"canvasroute/decide"
+	"canvasroute/internal/door"
 	"canvasroute/internal/protocol"
 	"canvasroute/internal/transport"
 )
@@ -51,6 +52,7 @@
 	counts     Counts
 	place      place
 	ids        ids
+	door       *door.Door
 
 	settled  atomic.Bool // a list is known, or the first call for it has been answered, or has failed
 	draining atomic.Bool
@@ -59,7 +61,7 @@
 // New makes a router and gives the facade the list that it starts with.
 func New(t Terms, f *decide.Instances, p *transport.Pool, d *transport.Datagrams, log zerolog.Logger) *Router {
 	r := &Router{terms: t, facade: f, pool: p, datagrams: d, log: log, heard: make([]stamp, len(t.Peers)*f.Count()),
-		place:      place{address: t.Discovery},
+		place: place{address: t.Discovery}, door: door.New(float64(f.Count())),
 		operations: map[string]decide.Operation{}, owners: map[string]decide.Customer{},
 		fleet: fleet{zones: numbered(t.Zones), kinds: numbered(t.Kinds), clock: t.FromUnix, log: log,
 			numbers: map[string]decide.Worker{}, tagged: map[uint16]decide.Worker{}}}
@@ -94,6 +96,7 @@
 			g.Go(func() error { return r.tell(ctx, j) })
 		}
 	}
+	g.Go(func() error { return r.beat(ctx) })
 	g.Go(func() error { return r.follow(ctx) })
 	g.Go(func() error { return r.probes(ctx) })
 	if r.datagrams != nil {
@@ -127,6 +130,10 @@
 	case h.Method != "POST":
 		return r.turnedAway(&protocol.Answer{Status: 405, Allow: "POST"})
 	}
+	if !r.door.Admit() { // nothing is known of it yet, nor has its body been read
+		r.counts.AtDoor.Add(1)
+		return &protocol.Answer{Status: 503, ComeBack: r.terms.ComeBackMost}
+	}
 	return nil
 }
 
