Admit a client's connection at the same cost whatever is held

Cause: in a flood of connections beyond the limit the process stayed down after it, at a load that it had carried before. admit went through all held connections to count them, and evict once more to find the one that makes room (places.go): 87.6 us a newcomer at 5,000 places, on the core that should have answered.

Change: the kept ones are counted as they change; those that may make room stand in a list for each rank, the longest at it first. Ranks and bounds are as they were.

--- a/internal/transport/places.go
+++ b/internal/transport/places.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"container/list"
 	"context"
 	"sync"
 	"time"
@@ -20,7 +21,9 @@
 
 	mu      sync.Mutex
 	held    map[*Conn]*place
-	retired bool // idle connections end
+	kept    int               // of those held, the ones that neither came beyond the budget nor are to end
+	yield   [ranks]*list.List // connections that may have to make room, by rank, the longest at it first
+	retired bool              // idle connections end
 }
 
 // place is what a client's connection does, and since when.
@@ -31,6 +34,9 @@
 	proven  bool // it has brought an invocation that was taken
 	over    bool // it came beyond the budget
 	evicted bool // it is to end for another one's sake
+
+	in *list.List // of those that may have to make room, nil if it has to stay
+	at *list.Element
 }
 
 type doing uint8
@@ -42,7 +48,11 @@
 )
 
 func newPlaces(most int) *places {
-	return &places{most: most, spare: max(most/16, 1), freed: make(chan struct{}, 1), held: map[*Conn]*place{}}
+	s := &places{most: most, spare: max(most/16, 1), freed: make(chan struct{}, 1), held: map[*Conn]*place{}}
+	for r := range s.yield {
+		s.yield[r] = list.New()
+	}
+	return s
 }
 
 // wait blocks until one more connection fits, or ctx ends. What fills the spare places is on its way out.
@@ -70,20 +80,21 @@
 func (s *places) admit(c *Conn) (over bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	kept := 0
-	for _, p := range s.held {
-		if !p.evicted && !p.over {
-			kept++
-		}
-	}
-	over = kept >= s.most && !s.evict()
-	s.held[c] = &place{since: time.Now(), first: true, over: over}
+	over = s.kept >= s.most && !s.evict()
+	p := &place{since: time.Now(), first: true, over: over}
+	s.held[c] = p
+	s.count(p, 1)
+	s.queue(c, p)
 	c.Within(firstWithin)
 	return over
 }
 
 func (s *places) leave(c *Conn) {
 	s.mu.Lock()
+	if p := s.held[c]; p != nil {
+		s.count(p, -1)
+		p.leave()
+	}
 	delete(s.held, c)
 	s.mu.Unlock()
 	select {
@@ -92,10 +103,13 @@
 	}
 }
 
+// ranks are: unproven ones that stand idle, and that bring a message; then proven ones alike.
+const ranks = 4
+
 // rank orders connections by what would be lost with them; false for one that has to stay.
 func (p *place) rank() (rank int, may bool) {
-	if p.doing == standing {
-		rank = -1
+	if p.doing == reading {
+		rank = 1
 	}
 	if p.proven {
 		rank += 2
@@ -103,28 +117,50 @@
 	return rank, p.doing != answering && !p.evicted
 }
 
+// count keeps the number of those that are kept; it is called before and after what changes that.
+func (s *places) count(p *place, by int) {
+	if !p.evicted && !p.over {
+		s.kept += by
+	}
+}
+
+func (p *place) leave() {
+	if p.in != nil {
+		p.in.Remove(p.at)
+		p.in, p.at = nil, nil
+	}
+}
+
+// queue puts a connection last among those of its rank, as what it does has just begun. So the one that has done
+// what it does longest is found at once: a flood of connections costs the same for each, whatever is held.
+func (s *places) queue(c *Conn, p *place) {
+	p.leave()
+	if rank, may := p.rank(); may {
+		p.in = s.yield[rank]
+		p.at = p.in.PushBack(c)
+	}
+}
+
 // evict ends the connection of least rank that has longest done what it does, under the lock. It guards
 // against clients that open many connections and bring nothing on them, or nothing of use, or bring it byte
 // by byte: those go first, so that they keep no other out.
 func (s *places) evict() bool {
-	var last *Conn
-	var least int
-	for c, p := range s.held {
-		rank, may := p.rank()
-		if may && (last == nil || rank < least || rank == least && p.since.Before(s.held[last].since)) {
-			last, least = c, rank
+	for _, l := range s.yield {
+		if l.Len() == 0 {
+			continue
 		}
+		last := l.Front().Value.(*Conn)
+		p, within := s.held[last], silentWithin
+		if p.proven {
+			within = crossWithin
+		}
+		s.count(p, -1)
+		p.evicted = true
+		p.leave()
+		last.Within(within)
+		return true
 	}
-	if last == nil {
-		return false
-	}
-	within := silentWithin
-	if s.held[last].proven {
-		within = crossWithin
-	}
-	s.held[last].evicted = true
-	last.Within(within)
-	return true
+	return false
 }
 
 // stand marks a connection idle, and bounds that. It is one step with the look at whether all are to end:
@@ -133,7 +169,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.held[c]
+	s.count(p, -1)
 	p.doing, p.since, p.first, p.evicted = standing, time.Now(), false, false
+	s.count(p, 1)
+	s.queue(c, p)
 	switch {
 	case s.retired:
 		c.Within(crossWithin)
@@ -151,6 +190,7 @@
 	defer s.mu.Unlock()
 	p := s.held[c]
 	p.doing, p.since = to, time.Now()
+	s.queue(c, p)
 	switch {
 	case to != reading || p.evicted:
 	case s.retired:
@@ -168,6 +208,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.held[c].proven = true
+	s.queue(c, s.held[c])
 }
 
 func (s *places) isEvicted(c *Conn) bool {
--- /dev/null
+++ b/internal/transport/places_test.go
@@ -0,0 +1,93 @@
+package transport
+
+import (
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+)
+
+// Guards against a connection that is counted or ranked as what it was: the budget would be wrong for good, or one
+// that is owed an answer would make room.
+func TestPlacesRankAndCountWhateverConnectionsDo(t *testing.T) {
+	rng, s := rand.New(rand.NewPCG(1, 2)), newPlaces(20)
+	var conns []*Conn
+	for range 4000 {
+		if len(conns) == 0 || rng.IntN(6) == 0 {
+			a, b := net.Pipe()
+			defer b.Close()
+			c := newConn(a, Client, "", zerolog.Nop(), nil)
+			s.admit(c)
+			conns = append(conns, c)
+			continue
+		}
+		n := rng.IntN(len(conns))
+		c := conns[n]
+		switch rng.IntN(6) {
+		case 0:
+			s.stand(c)
+		case 1:
+			s.turn(c, reading)
+		case 2:
+			s.turn(c, answering)
+		case 3:
+			s.turn(c, answering) // as when its answer is at hand
+			s.prove(c)
+		case 4:
+			s.leave(c)
+			conns = append(conns[:n], conns[n+1:]...)
+		case 5:
+			s.mu.Lock()
+			s.evict()
+			s.mu.Unlock()
+		}
+		soundPlaces(t, s)
+		if t.Failed() {
+			return
+		}
+	}
+}
+
+func soundPlaces(t *testing.T, s *places) {
+	kept, queued := 0, 0
+	for c, p := range s.held {
+		if !p.evicted && !p.over {
+			kept++
+		}
+		rank, may := p.rank()
+		assert.Equal(t, may, p.in != nil)
+		if may {
+			queued++
+			assert.Same(t, s.yield[rank], p.in)
+			assert.Same(t, c, p.at.Value)
+		}
+	}
+	for _, l := range s.yield {
+		queued -= l.Len()
+		for e := l.Front(); e != nil && e.Next() != nil; e = e.Next() {
+			assert.False(t, s.held[e.Next().Value.(*Conn)].since.Before(s.held[e.Value.(*Conn)].since))
+		}
+	}
+	assert.Zero(t, queued)
+	assert.Equal(t, kept, s.kept)
+}
+
+// BenchmarkNewcomerWhereAllPlacesAreTaken is the cost of a connection in a flood: it must not grow with the places.
+func BenchmarkNewcomerWhereAllPlacesAreTaken(b *testing.B) {
+	s := newPlaces(5000)
+	a, other := net.Pipe()
+	defer other.Close()
+	for range 5000 {
+		s.admit(newConn(a, Client, "", zerolog.Nop(), nil))
+	}
+	began := time.Now()
+	for b.Loop() {
+		c := newConn(a, Client, "", zerolog.Nop(), nil)
+		s.admit(c)
+		s.leave(c)
+	}
+	b.ReportMetric(float64(time.Since(began).Nanoseconds())/float64(b.N), "ns/newcomer")
+}
