Benchmarks of the hard cases: a list renewed whole, ten thousand held, all workers cold

Need: the issue on scale names them, and nothing measured them.

Change: benchmarks beside those of land, pick and report.

--- a/decide/facade_bench_test.go
+++ b/decide/facade_bench_test.go
@@ -53,3 +53,55 @@
 		b.Fatal("not answered: ", c, err)
 	}
 }
+
+// BenchmarkListRenewedWhole is a list of 4,096 workers that comes whole while 65,536 invocations are open.
+func BenchmarkListRenewedWhole(b *testing.B) {
+	f := facadeWithOpen(b, 4096, 16)
+	list := make([]Entry, 4096)
+	for w := range list {
+		list[w] = Entry{Tgt: Worker(w), ID: fmt.Sprintf("w%d", w), Zone: Zone(w % 2), Cell: Cell(w)}
+	}
+	for b.Loop() {
+		f.ReportList(list, true, false)
+	}
+}
+
+// BenchmarkLandingBesideHeld is a landing and its end by its client where all 256 workers are full and 10,000 are
+// held.
+func BenchmarkLandingBesideHeld(b *testing.B) {
+	f := facadeWithOpen(b, 256, 8)
+	f.d.slots[0] = 8
+	for n := range 10000 {
+		f.Land(Landing{Grace: 1000 * Second, Hint: Work(100 + n%50)})
+	}
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	for b.Loop() {
+		t := f.Land(Landing{Grace: 3 * Second, Hint: 100})
+		if _, err := t.Pick(gone); err == nil {
+			b.Fatal("it was not held")
+		}
+	}
+}
+
+// BenchmarkAllWorkersCold is one invocation's way where each of 4,096 workers has just started.
+func BenchmarkAllWorkersCold(b *testing.B) {
+	f, now := facadeOf(someTerms, 0)
+	var list []Entry
+	for w := range 4096 {
+		list = append(list, Entry{Tgt: Worker(w), ID: fmt.Sprintf("w%d", w), Born: *now - Second})
+	}
+	f.ReportList(list, true, false)
+	for b.Loop() {
+		*now += 10 // what was sent counts no more after the span
+		carry(b, f)
+	}
+}
+
+// BenchmarkSweep goes through 65,536 open invocations, as every tenth of the shortest objective.
+func BenchmarkSweep(b *testing.B) {
+	f := facadeWithOpen(b, 4096, 16)
+	for b.Loop() {
+		f.d.sweep()
+	}
+}
