Index both lanes once for a list; take out of the lab what nobody used

Cause: reading the change again. A new list indexed the part of both lanes twice; the lab summed the dispatchers' CPU in two places and went through all tries once for each dispatcher; some fields and methods had no user, and a wait took a nil context.

Change: each once (Result.CPU, one pass over the tries), the unused ones removed, the context passed. Behaviour is as it was.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -196,7 +196,9 @@
 		}
 	}
 	for p := range d.parts {
-		d.index(p)
+		if p != both {
+			d.index(p)
+		}
 	}
 }
 
--- a/internal/lab/experiment/plan.go
+++ b/internal/lab/experiment/plan.go
@@ -297,7 +297,7 @@
 func (p *Plan) world() trouble.World {
 	kinds, zones, _ := p.sites()
 	w := trouble.World{Workers: len(kinds), Zones: p.Fleet.Zones, ZoneOf: zones,
-		Dispatchers: p.Dispatchers.Count, End: p.Long()}
+		Dispatchers: p.Dispatchers.Count}
 	for _, c := range p.Customers {
 		w.Customers = append(w.Customers, c.Name)
 	}
--- a/internal/lab/experiment/process.go
+++ b/internal/lab/experiment/process.go
@@ -109,7 +109,7 @@
 // kill ends the process at once and waits for its end.
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL, true)
-	p.wait(nil)
+	p.wait(context.Background())
 }
 
 // errSlow is a process that did not end in time, and was killed.
@@ -133,7 +133,7 @@
 	return fmt.Errorf("dispatcher %s: %w", p.name, errSlow)
 }
 
-// wait waits for the end of the process, and tells whether it came before that of ctx, if there is one.
+// wait waits for the end of the process, and tells whether it came before that of ctx.
 func (p *process) wait(ctx context.Context) bool {
 	p.mu.Lock()
 	gone := p.gone
@@ -141,9 +141,6 @@
 	if gone == nil {
 		return true
 	}
-	if ctx == nil {
-		ctx = context.Background()
-	}
 	select {
 	case <-gone:
 		return true
--- a/internal/lab/experiment/result.go
+++ b/internal/lab/experiment/result.go
@@ -93,15 +93,13 @@
 	}
 	r.Breaches = append(r.Breaches, breaches[:min(len(breaches), mostBreaches)]...)
 	r.workers(p, w)
-	for n, process := range w.processes {
+	for _, process := range w.processes {
 		r.Failures = append(r.Failures, process.faults...)
 		r.Dispatchers = append(r.Dispatchers, ProcessResult{Name: process.name, Lives: process.lives,
 			CPU: process.cpu.Seconds(), Counters: lastCounters(process.log.Name())})
-		for _, try := range w.ledger.Tries() {
-			if try.Dispatcher == n {
-				r.Dispatchers[n].Tries++
-			}
-		}
+	}
+	for _, try := range w.ledger.Tries() {
+		r.Dispatchers[try.Dispatcher].Tries++
 	}
 	if w.peers != nil {
 		r.Peers = map[string]int{"carried": w.peers.Carried, "discarded": w.peers.Discarded}
@@ -204,5 +202,13 @@
 	return results, nil
 }
 
+// CPU is the time in seconds that all dispatchers used.
+func (r *Result) CPU() (s float64) {
+	for _, d := range r.Dispatchers {
+		s += d.CPU
+	}
+	return s
+}
+
 // Broken tells whether a rule was broken or a process failed.
 func (r *Result) Broken() bool { return len(r.Breaches) > 0 || len(r.Failures) > 0 }
--- a/internal/lab/experiment/saturate.go
+++ b/internal/lab/experiment/saturate.go
@@ -104,7 +104,7 @@
 		return Trial{}, err
 	}
 	calls, c := float64(max(r.Calls.Total.Calls, 1)), &r.Calls
-	t := Trial{Rate: rate, P50: c.All.P50, P99: c.All.P99, CPU: 1e6 * cpuOf(r) / calls,
+	t := Trial{Rate: rate, P50: c.All.P50, P99: c.All.P99, CPU: 1e6 * r.CPU() / calls,
 		Generous: !c.Generator.Trusted}
 	var counters struct {
 		Mallocs uint64 `json:"mallocs"`
@@ -126,10 +126,3 @@
 	}
 	return t, os.RemoveAll(filepath.Clean(o.Folder))
 }
-
-func cpuOf(r *Result) (s float64) {
-	for _, d := range r.Dispatchers {
-		s += d.CPU
-	}
-	return s
-}
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -89,7 +89,7 @@
 	p := w.plan
 	var drops []worker.Deduplication
 	for _, o := range p.Operations {
-		d := worker.Deduplication{Name: o.Name, Window: o.Window.D()}
+		d := worker.Deduplication{Window: o.Window.D()}
 		if o.Repeat == load.Deduplicated {
 			d.Scope = scopeOf(o)
 		}
--- a/internal/lab/ledger/judge.go
+++ b/internal/lab/ledger/judge.go
@@ -48,7 +48,6 @@
 	Workers    []Place       // by worker
 	Grace      time.Duration // of a drain
 	Slack      time.Duration // that each time limit is longer by, for the machine's own delays
-	End        time.Duration // of the experiment: what lasts longer is not judged
 }
 
 // Judge names every breach, in the order of time.
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -193,13 +193,6 @@
 	return l.tries
 }
 
-// Falls are the workers that were pushed over.
-func (l *Ledger) Falls() []Fall {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.falls
-}
-
 // Ends tells how the forwards of an invocation stand, in the order in which they came.
 func (l *Ledger) Ends(id string) (ends []End) {
 	l.mu.Lock()
--- a/internal/lab/peernet/peernet.go
+++ b/internal/lab/peernet/peernet.go
@@ -78,13 +78,6 @@
 	n.manner = m
 }
 
-// Manner is how datagrams are treated now.
-func (n *Net) Manner() Manner {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.manner
-}
-
 // Run carries datagrams until ctx ends.
 func (n *Net) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
--- a/internal/lab/report/compare.go
+++ b/internal/lab/report/compare.go
@@ -38,7 +38,7 @@
 		return float64(r.Calls.Total.Tries) / float64(max(r.Calls.Total.Calls, 1))
 	}, -1},
 	{"CPU us a call", func(r *experiment.Result) float64 {
-		return 1e6 * cpu(r) / float64(max(r.Calls.Total.Calls, 1))
+		return 1e6 * r.CPU() / float64(max(r.Calls.Total.Calls, 1))
 	}, -1},
 }
 
--- a/internal/lab/report/page.go
+++ b/internal/lab/report/page.go
@@ -85,7 +85,7 @@
 			millis(c.Succeeded.P99), millis(c.Succeeded.Max))},
 		Row{Name: "tries a call", Value: fmt.Sprintf("%.2f", float64(c.Total.Tries)/float64(max(c.Total.Calls,
 			1)))},
-		Row{Name: "dispatchers' CPU", Value: fmt.Sprintf("%.2f s", cpu(r))},
+		Row{Name: "dispatchers' CPU", Value: fmt.Sprintf("%.2f s", r.CPU())},
 	)
 	g := Row{Name: "generator", Value: "kept to its schedule"}
 	if !c.Generator.Trusted {
@@ -94,13 +94,6 @@
 	return append(rows, g)
 }
 
-func cpu(r *experiment.Result) (s float64) {
-	for _, d := range r.Dispatchers {
-		s += d.CPU
-	}
-	return s
-}
-
 func millis(v float64) string {
 	return time.Duration(v * float64(time.Millisecond)).Round(10 * time.Microsecond).String()
 }
--- a/internal/lab/trouble/timeline.go
+++ b/internal/lab/trouble/timeline.go
@@ -39,7 +39,6 @@
 	ZoneOf      []int // by worker
 	Dispatchers int
 	Customers   []string
-	End         time.Duration
 }
 
 // Do is what is done.
--- a/internal/lab/worker/server.go
+++ b/internal/lab/worker/server.go
@@ -23,7 +23,6 @@
 
 // Deduplication is how an operation's repeats are dropped.
 type Deduplication struct {
-	Name   string
 	Scope  string // "": not at all; all, zone or cell
 	Window time.Duration
 }
--- a/internal/lab/worker/server_test.go
+++ b/internal/lab/worker/server_test.go
@@ -21,7 +21,7 @@
 func oneWorker(t *testing.T, terms Terms) (*Server, *ledger.Ledger) {
 	began, l := time.Now(), ledger.New()
 	terms.Idle = 5 * time.Second
-	f := NewFleet(terms, []Deduplication{{Name: "safe"}, {Name: "keyed", Scope: "zone", Window: 10 * sec}}, l,
+	f := NewFleet(terms, []Deduplication{{}, {Scope: "zone", Window: 10 * sec}}, l,
 		func() time.Duration { return time.Since(began) }, nil)
 	s := f.Add("w0", twoCores, 0, 0, 1)
 	assert.NoError(t, s.Start(true))
