Spread calls for the list over the dispatchers, at a start and after a failure

At the start 80 calls came in one tick: 32 were served, 48 ended after 2 s. Their repeats came within 0.5 s of each other (46 calls from 2.5 to 3.0 s, none served; 44 from 5.8 to 6.8 s, none served): the service works through calls in turn, 62 ms each, also those given up, so that every repeat kept it busy past the next. Of the 56 dispatchers restarted at 12.8 s, 20 had the list within 2 s, the last ones at 31 s; the rest sent to workers that had been replaced (840 connections refused, 451 forwards called off). Ruled out: pushes to watches (1,140 lines take 0.6 s), the service being away (it answered 16 a second whenever its queue was short). At fault: New, which left askAt at nought, and ListFailed, whose waits did not know how many wait with us (decide.go).

Change: with a list at hand each dispatcher asks in its turn by its number, the last after six tenths of the time without asking that is allowed, sooner where dispatchers are few. After a failure the wait is drawn from that span too, doubling.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -26,6 +26,8 @@
 	slotsFirst  = 8.0    // slots believed before anything was refused or kept waiting
 	probeEvery  = 2      // landings for a probe
 	tellMost    = 0.0125 // of an invocation's billed value goes into telling peers of it
+	askEvery    = 128    // calls for the list, of all dispatchers, in the time without asking that is allowed
+	askSpread   = 0.6    // of that time at most is taken for one call of each
 )
 
 func New(t Terms, seed uint64, link Link) *Dispatcher {
@@ -38,6 +40,7 @@
 		perInv: t.ValueByInvocation, worstWeight: t.WorstOperation / 2, luck: 1, worst: -1, tellAt: never,
 		position: t.Position, dispatchers: t.Dispatchers, keepers: t.Dispatchers, every: 2 * Second,
 		atInFlight: t.ReportInFlight, atQueue: t.ReportQueue, atFree: t.ReportFree, wakeAt: never, patience: never}
+	d.spread = min(t.AskWithin*Time(t.Dispatchers)/askEvery, Time(askSpread*float64(t.AskWithin)))
 	if d.peers && t.TellCost > 0 { // told of each forward twice
 		d.keepers = min(max(int(tellMost/(2*t.TellCost)), 1), t.Dispatchers)
 	}
@@ -136,15 +139,19 @@
 }
 
 func (d *Dispatcher) ListFailed() {
-	d.asks, d.subscribed = d.asks+1, false // it is overloaded or away: later and later, so as not to flood it
-	wait := min(d.askWithin/2, Second/2<<min(d.asks, 4))
-	d.askAt = d.now + wait/2 + Time(d.chance()%uint64(wait/2+1))
+	// It is overloaded or away: later and later, so as not to flood it. All have failed with us, and a call that
+	// has waited for too long costs it as much as one that is answered: so all together no faster than at a start.
+	d.asks, d.subscribed = d.asks+1, false
+	wait := min(Second/2<<min(d.asks, 4)+d.spread<<min(d.asks-1, 4), d.askWithin*4/5)
+	d.askAt = d.now + wait/4 + Time(d.chance()%uint64(wait*3/4+1))
 }
 
 // Listed takes a list or a change to it; answer tells whether it may be the answer to a subscription.
 func (d *Dispatcher) Listed(entries []Entry, whole, answer bool) {
 	if answer {
 		d.subscribed, d.asks = true, 0
+	} else if len(entries) > 0 { // a list to start with: each of those that may start with us asks in its turn
+		d.askAt = d.now + d.spread*Time(d.position)/Time(d.dispatchers)
 	}
 	for w := 0; whole && w < len(d.state); w++ {
 		d.state[w] = Gone
--- a/decide/state.go
+++ b/decide/state.go
@@ -65,7 +65,7 @@
 	share, coldFrom, multiple   float64
 	surplusShare, crossing      float64
 	unit                        float64 // the work that one part of a cold worker's budget should hold
-	margin, askWithin           Time
+	margin, askWithin, spread   Time    // spread: over which the dispatchers' calls for the list are spread
 	ramp, span, patience        Time
 	forwardsMost, keepers       int
 	position, dispatchers       int
