Open cold workers to all dispatchers that tell one another, and try freed places in turn

From 10 s on 24 old workers had 70 of 72 slots busy while the 36 new ones had 15 to 47 of 108. What a dispatcher that gave up found closed: of 36 cold workers 28 to 31 by rank, 2 too slow, 3 full. withinCold let one dispatcher of 80 send to each until it was half warm, and such a one lands 0.7 invocations a second. idle took warmth off the slots too, but a cold worker is slow, not narrow: work there took 3.4 times its hint alone or with two beside it.

Change: where peers tell, those told of a cold worker send there by what is in flight (decide.go, withinCold), the others not at all, and a place freed at a full one is tried in turn (queueUp). Ranks stay where there are no messages. The part of cold workers elsewhere is gone.

--- /dev/null
+++ b/decide/cold_test.go
@@ -0,0 +1,156 @@
+package decide
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// coldWorker is one that has just started: each of its slots is slow by its age, and beyond them it takes nothing.
+type coldWorker struct {
+	now, born Time
+	fleet     []*Dispatcher
+	running   []*job
+	refused   []*job
+	sent      []spend // all that came, refused or not
+	news      []message
+	used      float64 // work done
+}
+
+type job struct {
+	from *Dispatcher
+	inv  Inv
+	n    int
+	left float64
+}
+
+type message struct {
+	due      Time
+	from, to Peer
+	l        Load
+}
+
+const (
+	coldSlots = 3
+	tick      = Time(20)
+	flight    = Time(200) // of a message
+)
+
+// line is the link of one dispatcher to it.
+type line struct {
+	book
+	number Peer
+	c      *coldWorker
+}
+
+func (l *line) Forward(inv Inv, _ Worker, _ Time) {
+	d := l.c.fleet[l.number]
+	i := &d.invs[inv]
+	j := &job{from: d, inv: inv, n: len(i.forwards) - 1, left: float64(i.size)}
+	l.c.sent = append(l.c.sent, spend{l.c.now, i.size})
+	if len(l.c.running) < coldSlots {
+		l.c.running = append(l.c.running, j)
+		return
+	}
+	l.c.refused = append(l.c.refused, j)
+}
+
+func (l *line) Tell(to Peer, load Load) {
+	l.c.news = append(l.c.news, message{l.c.now + flight, l.number, to, load})
+}
+
+// step lets a tick pass.
+func (c *coldWorker) step() {
+	c.now += tick
+	for _, d := range c.fleet {
+		d.Clock(c.now)
+	}
+	for _, j := range c.refused {
+		j.from.Ended(j.inv, j.n, Full, false)
+	}
+	c.refused = nil
+	speed := c.fleet[0].warmth(0)
+	for _, j := range c.running {
+		done := min(j.left, speed*float64(tick))
+		c.used, j.left = c.used+done, j.left-done
+		j.from.Started(j.inv, j.n)
+		if j.left <= 0 {
+			j.from.Ended(j.inv, j.n, Succeeded, true)
+		}
+	}
+	c.running = slices.DeleteFunc(c.running, func(j *job) bool { return j.left <= 0 })
+	for len(c.news) > 0 && c.news[0].due <= c.now {
+		c.fleet[c.news[0].to].Heard(c.news[0].from, c.news[0].l)
+		c.news = c.news[1:]
+	}
+	for _, d := range c.fleet {
+		d.Settle()
+	}
+}
+
+// load lands work at all of them, far more than the worker can do, from its start until it is warm; it returns the
+// most that was sent within the span, over what the rule allows at the end of it.
+func (c *coldWorker) load(span Time) (worst float64) {
+	sizes := []Work{600, 1500, 4000, 9000, 20000}
+	for n := 0; c.now-c.born < 19*Second; n++ {
+		if n%25 == 0 {
+			d := c.fleet[n/25%len(c.fleet)]
+			inv := Inv(n / 25)
+			d.Landed(inv, Landing{Grace: 20 * Second, Hint: sizes[n/25*7%len(sizes)]})
+		}
+		c.step()
+		within := 0.0
+		for _, s := range c.sent {
+			if s.at > c.now-span {
+				within += float64(s.work)
+			}
+		}
+		d := c.fleet[0]
+		worst = max(worst, within/(d.multiple*d.warmth(0)*coldSlots*float64(span)))
+	}
+	return worst
+}
+
+func coldFleet(n int) *coldWorker {
+	c := &coldWorker{now: 100 * Second, born: 100 * Second}
+	terms := someTerms
+	terms.Dispatchers, terms.Peers, terms.ReportFree = n, true, -1
+	for number := range n {
+		terms.Position = number
+		d := New(terms, uint64(number), &line{number: Peer(number), c: c})
+		d.Clock(c.now)
+		d.Listed([]Entry{{Tgt: 0, ID: "w", Born: c.born}}, true, true)
+		d.most[0], d.slots[0] = coldSlots, coldSlots
+		c.fleet = append(c.fleet, d)
+	}
+	return c
+}
+
+// Guards against two faults at once: a worker that is open to one dispatcher of many is hardly used until it is warm,
+// and one that all rush to whenever a slot comes free falls over.
+func TestColdWorkerIsUsedByAllWhoTellOneAnotherAndNotPushedOver(t *testing.T) {
+	for _, n := range []int{2, 10, 40} {
+		c := coldFleet(n)
+		worst := c.load(2 * Second)
+		assert.Less(t, worst, 1.0, "%d dispatchers: the most within the span, over the budget", n)
+		could := 0.0
+		for at := c.born; at < c.now; at += tick {
+			d := c.fleet[0]
+			d.Clock(at)
+			could += coldSlots * d.warmth(0) * float64(tick)
+		}
+		assert.Greater(t, c.used/could, 0.5, "%d dispatchers: the part of it that was used", n)
+	}
+}
+
+func TestColdWorkerIsClosedToThoseWhoAreNotToldOfIt(t *testing.T) {
+	d, _ := warmDispatcher(2, 1)
+	d.peers = true
+	d.Listed([]Entry{{Tgt: 0, ID: "w0", Born: d.now}}, false, true)
+	assert.True(t, d.withinCold(0, 100))
+	d.others[0] = 1 // as many as were seen to run at once
+	assert.False(t, d.withinCold(0, 100))
+	d.others[0], d.seats[both].place[0] = 0, noPlace
+	assert.False(t, d.withinCold(0, 100))
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -19,6 +19,7 @@
 	sampleLeast = 50     // hints before lanes are cut
 	passOver    = 2.0    // of the mean in flight per worker in the lane, taken as half a job at the least
 	coldMargin  = 0.7    // of a cold worker's budget is kept back: hints are rough, a slot may be half a core
+	coldSlack   = 0.1    // of it, where those who send there tell one another, beside what the worker may have done
 	hintTrust   = 0.5    // of the wait that a hint allows: hints are rough
 	shareSample = 16     // landings of a customer within its share that tell its traffic from chance
 	shareMargin = 1.5    // of a customer's share is let pass as chance
@@ -182,7 +183,7 @@
 // a worker in theirs: they alone are told, so that the price of telling does not grow with the dispatchers.
 func (d *Dispatcher) part() {
 	every := d.dispatchers
-	d.parts[both], d.parts[cold], d.parts[all] = d.parts[both][:0], d.parts[cold][:0], d.ring
+	d.parts[both], d.parts[all] = d.parts[both][:0], d.ring
 	for l := range lanes {
 		block := d.ring[len(d.ring)*l/lanes : len(d.ring)*(l+1)/lanes] // the same at every dispatcher
 		m, first := len(block), len(block)*d.position/every
@@ -196,16 +197,8 @@
 		}
 		d.parts[both] = append(d.parts[both], d.parts[l]...)
 	}
-	d.index(both)
-	for _, w := range d.ring {
-		if d.warmth(w) < 1 && d.rank(w) < d.keepers && !d.within(both, w) {
-			d.parts[cold] = append(d.parts[cold], w)
-		}
-	}
 	for p := range d.parts {
-		if p != both {
-			d.index(p)
-		}
+		d.index(p)
 	}
 }
 
@@ -215,12 +208,26 @@
 	if n < 0 {
 		n, heard = len(heard), append(heard, hearing{from: from})
 	}
-	d.room = d.room || l.InFlight < heard[n].inFlight
+	if l.InFlight < heard[n].inFlight {
+		if d.room = true; d.warmth(l.Tgt) < 1 && float64(d.load(l.Tgt)) >= d.most[d.kind[l.Tgt]] {
+			d.queueUp(l.Tgt)
+		}
+	}
 	d.others[l.Tgt] += l.InFlight - heard[n].inFlight
 	heard[n].inFlight, heard[n].at, d.heard[l.Tgt] = l.InFlight, d.now, heard
 	d.touch(l.Tgt)
 }
 
+// queueUp lets those who hear that a full cold worker has room again try one after the other, each once it would know
+// of the one before: else all of them send there at once, and what is sent counts even if it finds the worker full.
+// The one whose forward ended there goes first, by knowing first.
+func (d *Dispatcher) queueUp(w Worker) {
+	keepers := max(d.keep[w][1]-d.keep[w][0], 1)
+	place := (Time(d.position) + d.now/Second) % Time(keepers)
+	d.openAt[w] = d.now + place*d.patience/2
+	d.sweepAt = min(d.sweepAt, d.openAt[w])
+}
+
 // The rules, in order: when each is due, and what it does. After every input they are gone through from the
 // top until none is due; then a wake is asked for, for the one that will be due first.
 var rules = []struct {
@@ -320,7 +327,7 @@
 // elsewhere it hears nothing: they are tried last, and after one that was full not for about one run.
 func (d *Dispatcher) choose(i *invocation) (Worker, bool) {
 	for _, near := range [2]bool{d.crossing > 0, false} {
-		for _, p := range [4]int{i.lane, cold, both, all} {
+		for _, p := range [3]int{i.lane, both, all} {
 			if p == all && (d.luck < 0.5 || d.now < d.blindAt) {
 				continue
 			}
@@ -339,7 +346,7 @@
 			(o.repeat != NonIdempotent || d.fails[w] == 0 || d.now >= d.trialAt[w]+8*Second) && // no trial by it
 			// A cold worker is slow: nothing goes there that would be late by it.
 			float64(i.size)*(1/d.warmth(w)-1-o.slack) <= float64(o.objective) &&
-			(p != cold || d.warmth(w) < 1) && // what is beyond a share leaves room to others:
+			// What is beyond a share leaves room to others.
 			float64(d.load(w)) < (1+i.counts)/2*d.slots[d.kind[w]]
 		if fit && d.idle(w) && !d.passedOver(p, w) && d.withinCold(w, i.size) && d.mayForward(i, w) {
 			d.turn[p] = (n + 1) % len(d.parts[p])
@@ -350,8 +357,8 @@
 }
 
 func (d *Dispatcher) idle(w Worker) bool {
-	return d.state[w] == Healthy && d.now >= d.trialAt[w] && d.waiting[w] == 0 &&
-		(d.fails[w] == 0 || d.own[w] == 0) && float64(d.load(w)) < math.Round(d.slots[d.kind[w]]*d.warmth(w))
+	return d.state[w] == Healthy && d.now >= max(d.trialAt[w], d.openAt[w]) && d.waiting[w] == 0 &&
+		(d.fails[w] == 0 || d.own[w] == 0) && float64(d.load(w)) < math.Round(d.slots[d.kind[w]])
 }
 
 func (d *Dispatcher) told(w Worker) bool { return d.peers && d.within(both, w) }
@@ -373,18 +380,26 @@
 	return d.coldFrom + (1-d.coldFrom)*float64(max(d.now-d.born[w], 0))/float64(d.ramp)
 }
 
-// withinCold keeps to this dispatcher's part of what all may send a cold worker within the span. A part for
-// each of many would hold no invocation: so only the first few ranks have one, more by its age.
+// withinCold keeps what all may send a cold worker within the span to its budget. Where peers tell, those send there
+// who are told of it, as long as fewer forwards are out there than its kind was seen to work on, and none of them is
+// larger than its part of the budget: what is out was sent within the span at the worst, and what ended within it
+// was no more than the worker can do. Without messages each of the first few ranks has a part, more by its age;
+// a part for each of many would hold no invocation.
 func (d *Dispatcher) withinCold(w Worker, size Work) bool {
 	warmth := d.warmth(w)
 	if warmth == 1 {
 		return true
 	}
-	sent := size
+	sent, most := size, d.most[d.kind[w]]
 	for _, s := range d.spentSince(w) {
 		sent += s.work
 	}
-	budget := d.multiple * warmth * d.most[d.kind[w]] * float64(d.span) * (1 - coldMargin)
+	budget := d.multiple * warmth * most * float64(d.span)
+	if d.peers {
+		budget *= 1 - 1/d.multiple - coldSlack
+		return d.told(w) && float64(d.load(w)) < most && float64(size) <= budget/most && float64(sent) <= budget
+	}
+	budget *= 1 - coldMargin
 	ranks := min(max(math.Floor(budget/d.unit), 1), float64(d.dispatchers))
 	return d.rank(w) < int(ranks) && float64(sent) <= budget/ranks
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -45,10 +45,9 @@
 	at       Time
 }
 
-// The parts of a dispatcher: one a lane, that of all lanes, the cold workers elsewhere, and the whole ring.
+// The parts of a dispatcher: one a lane, that of all lanes, and the whole ring.
 const (
 	both = lanes + iota
-	cold
 	all
 	parts
 )
@@ -91,7 +90,7 @@
 	kind                        []Kind
 	cell                        []Cell
 	state                       []State
-	born, trialAt               []Time
+	born, trialAt, openAt       []Time // nothing goes there before trialAt, after a failure, or openAt, in a queue
 	own, waiting, others, fails []int
 	toldOf                      []int // what peers last were told
 	spent                       [][]spend
@@ -129,6 +128,7 @@
 	d.cell, d.state, d.born = append(d.cell, 0), append(d.state, Gone), append(d.born, 0)
 	d.own, d.waiting, d.others = append(d.own, 0), append(d.waiting, 0), append(d.others, 0)
 	d.fails, d.spent, d.trialAt = append(d.fails, 0), append(d.spent, nil), append(d.trialAt, 0)
+	d.openAt = append(d.openAt, 0)
 	d.heard, d.keep, d.toldOf = append(d.heard, nil), append(d.keep, [2]int{}), append(d.toldOf, 0)
 }
 
