Leave a zone for a while in which forwards in a row find nobody

Own zone goes first as crossing has a price, and suspicion was by worker (Ended), each one a discovery of its own at each of 80 dispatchers. Ruled out: connection tables (331 open at once over 60 workers), the list (its six calls of trouble were over by then), cold workers (the zone was not back).

Change: after three such forwards in a row, with none begun there meanwhile, nothing goes to the zone for 1, 2, 4, 8 s, as long as another zone has a healthy worker that is not suspected (decide.go, silent and lively).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,6 +29,7 @@
 	tellMost    = 0.0125 // of an invocation's billed value goes into telling peers of it
 	askEvery    = 128    // calls for the list, of all dispatchers, in the time without asking that is allowed
 	askSpread   = 0.6    // of that time at most is taken for one call of each
+	zoneSilent  = 3      // forwards in a row that broke or found nobody in a zone, and none that began
 )
 
 func New(t Terms, seed uint64, link Link) *Dispatcher {
@@ -92,6 +93,7 @@
 	if f := &d.invs[inv].forwards[n]; d.startNotes && f.out && f.started == 0 {
 		f.started, d.room = d.now, true
 		d.waiting[f.tgt]--
+		d.lively(f.tgt)
 		d.touch(f.tgt)
 		d.fits(f.tgt, d.load(f.tgt), d.now-f.sent < d.patience)
 	}
@@ -109,10 +111,14 @@
 	switch how {
 	case Succeeded:
 		d.fails[w] = 0
+		d.lively(w)
 	case Full:
 		d.fits(w, d.load(w)+1, false)
 		d.rest(w, Time(d.ops[i.op].mean)) // until a slot comes free, or forwards are used up there
 	case WorkerError, NoConnection, Reset: // a crash, a cut link, a program that fails all and is idle by it
+		if how != WorkerError {
+			d.silent(w)
+		}
 		if d.fails[w] > 0 && d.now < d.trialAt[w] { // one failure ends all that is out there
 		} else if d.fails[w]++; how == NoConnection || d.fails[w] > 1 { // nothing until a trial, ever later
 			d.trialAt[w] = d.now + Second<<min(d.fails[w]-1, 3)
@@ -131,6 +137,21 @@
 	}
 }
 
+// silent counts a forward that broke or found nobody for its worker's zone. A zone that is lost is still listed for
+// seconds, and an invocation has not forwards enough to find out worker by worker.
+func (d *Dispatcher) silent(w Worker) {
+	z := d.workerZone[w]
+	other := func(w Worker) bool {
+		return d.workerZone[w] != z && d.state[w] == Healthy && d.now >= d.zoneAt[d.workerZone[w]]
+	}
+	if d.quiet[z]++; d.quiet[z] >= zoneSilent && d.now >= d.zoneAt[z] && slices.ContainsFunc(d.ring, other) {
+		d.zoneAt[z] = d.now + Second<<min(d.quiet[z]-zoneSilent, 3)
+		d.link.Log(fmt.Sprintf("zone %d suspected lost, failure %d", z, d.quiet[z]))
+	}
+}
+
+func (d *Dispatcher) lively(w Worker) { d.quiet[d.workerZone[w]], d.zoneAt[d.workerZone[w]] = 0, 0 }
+
 func (d *Dispatcher) Left(inv Inv, flowing int) { d.end(inv, flowing) } // flowing: one that goes on, or -1
 
 func (d *Dispatcher) Woke(key uint64) {
@@ -161,6 +182,9 @@
 		for int(e.Tgt) >= len(d.hash) {
 			d.addWorker()
 		}
+		for int(e.Zone) >= len(d.quiet) {
+			d.quiet, d.zoneAt = append(d.quiet, 0), append(d.zoneAt, 0)
+		}
 		w, h := e.Tgt, fnv.New64a()
 		h.Write([]byte(e.ID))
 		if e.Born > d.born[w] { // a restart: what was known of the process is void, and it is cold
@@ -342,7 +366,7 @@
 func (d *Dispatcher) rotate(i *invocation, p int, near bool) (Worker, bool) {
 	o := &d.ops[i.op]
 	for n, w := range d.roomy(p) {
-		fit := (!near || d.workerZone[w] == d.zone) && (o.kind < 0 || o.kind == d.kind[w]) &&
+		fit := (!near || d.workerZone[w] == d.zone) && d.now >= d.zoneAt[d.workerZone[w]] && (o.kind < 0 || o.kind == d.kind[w]) &&
 			(o.repeat != NonIdempotent || d.fails[w] == 0 || d.now >= d.trialAt[w]+8*Second) && // no trial by it
 			// A cold worker is slow: nothing goes there that would be late by it.
 			float64(i.size)*(1/d.warmth(w)-1-o.slack) <= float64(o.objective) &&
--- a/decide/state.go
+++ b/decide/state.go
@@ -96,6 +96,9 @@
 	spent                       [][]spend
 	ring                        []Worker // those listed, by hash
 
+	quiet  []int  // by Zone: forwards in a row that broke or found nobody there
+	zoneAt []Time // by Zone: nothing goes there before it
+
 	heard [][]hearing
 	keep  [][2]int // the peers to be told: from, to, round the number of them
 	parts [parts][]Worker
