--- a/decide/facade.go
+++ b/decide/facade.go
@@ -353,6 +353,24 @@
 	})
 }
 
+// neighbours are the dispatchers that tell this one of a worker, or are told; all of them while no list is known.
+func (f *Facade) neighbours() (peers []Peer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d, seen := f.d, make([]bool, f.d.dispatchers)
+	for _, w := range d.parts[both] {
+		for p := d.keep[w][0]; p < d.keep[w][1]; p++ {
+			seen[p%d.dispatchers] = true
+		}
+	}
+	for p := range seen {
+		if p != d.position && (seen[p] || len(d.parts[both]) == 0) {
+			peers = append(peers, Peer(p))
+		}
+	}
+	return peers
+}
+
 // ReportLoad takes a worker's load report.
 func (f *Facade) ReportLoad(w Worker, values []float64) {
 	f.with(func(d *Dispatcher) { d.Reported(w, values) })
--- a/decide/instances.go
+++ b/decide/instances.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 )
 
@@ -137,6 +138,20 @@
 	}
 }
 
+// Neighbours are the other processes with which this one tells of workers, by number, in order; all of them while no
+// list is known.
+func (s *Instances) Neighbours() (processes []int) {
+	for _, f := range s.each {
+		for _, p := range f.neighbours() {
+			if n := int(p) / len(s.each); n != int(s.first)/len(s.each) {
+				processes = append(processes, n)
+			}
+		}
+	}
+	slices.Sort(processes)
+	return slices.Compact(processes)
+}
+
 // ReportLoad takes a worker's load report.
 func (s *Instances) ReportLoad(w Worker, values []float64) {
 	for _, f := range s.each {
--- a/decide/instances_test.go
+++ b/decide/instances_test.go
@@ -116,3 +116,35 @@
 	lives.Wait()
 	assert.Zero(t, s.Open())
 }
+
+// Guards against a fleet that restarts at once and greets all with all: it is charged for each message.
+func TestNeighboursAreThoseWhoShareWorkers(t *testing.T) {
+	terms := someTerms
+	terms.Dispatchers, terms.Peers, terms.TellCost = 80, true, 0.000625
+	fleet := make([]*Instances, 80)
+	for n := range fleet {
+		terms.Position = n
+		fleet[n] = NewInstances(terms, 1, 1, func() Time { return 0 }, func(string) {})
+		assert.Len(t, fleet[n].Neighbours(), 79, "all, before there is a list")
+		var list []Entry
+		for w := range 60 {
+			list = append(list, Entry{Tgt: Worker(w), ID: fmt.Sprintf("w%d", w)})
+		}
+		fleet[n].ReportList(list, true, true)
+	}
+	for n, s := range fleet {
+		near := s.Neighbours()
+		assert.Less(t, len(near), 30)
+		d := s.each[0].d
+		for _, w := range d.parts[both] {
+			for p := d.keep[w][0]; p < d.keep[w][1]; p++ {
+				if p%80 != n {
+					assert.Contains(t, near, p%80, "told of worker %d", w)
+				}
+			}
+		}
+		for _, p := range near {
+			assert.Contains(t, fleet[p].Neighbours(), n, "each of the other")
+		}
+	}
+}
