Operators' door with HEALTH, DUMP, LEAVE and JOIN, on a drain state that all ask

Cause: nothing listened at mgmt; draining was a flag in the router, another in the server and a third in the places, all one-way.

Design: internal/drain is one state machine without I/O (serving, leaving, away, ending, closing) that health, admission, the last answer of a connection and idle ones ask. What was taken runs on to its own end. internal/operate holds 16 callers at most on descriptors set aside; the one silent longest makes room. One place counts an end, by the answer itself (internal/routing/tally.go). Not taken: using the SIGTERM drain for LEAVE: it bounds what is open by the process's end and cannot be taken back. Closing idle connections at LEAVE: each would cross requests of clients that the front has not yet turned away.

--- a/decide/facade.go
+++ b/decide/facade.go
@@ -269,6 +269,20 @@
 	return float64(size) > drainTrust*float64(f.endBy-f.clock())
 }
 
+// Workers counts those that are listed, and of them those that failures keep work from now: a rest after
+// them, or a zone that is taken for lost. One that is only full, or drains, is not among the latter.
+func (f *Facade) Workers() (listed, avoided int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d, now := f.d, f.clock()
+	for _, w := range d.ring {
+		if d.state[w] == Healthy && (d.fails[w] > 0 && now < d.trialAt[w] || now < d.zoneAt[d.workerZone[w]]) {
+			avoided++
+		}
+	}
+	return len(d.ring), avoided
+}
+
 // PickWatch blocks until the list should be asked for.
 func (f *Facade) PickWatch(ctx context.Context) error {
 	select {
--- a/decide/instances.go
+++ b/decide/instances.go
@@ -6,10 +6,11 @@
 	"sync/atomic"
 )
 
-// Instances are the dispatchers of one process: as many instances of the module as it has cores for, each behind a
-// facade with a lock of its own. Each one is a dispatcher like any other, with its number among all instances of all
-// processes, so that budgets, shares, parts and drains hold over all of them by the rules as they are. They tell one
-// another in memory what peers tell by datagram. All processes must have as many. With one, this is a facade.
+// Instances are the dispatchers of one process: as many instances of the module as it has cores for, each
+// behind a facade with a lock of its own. Each one is a dispatcher like any other, with its number among all
+// instances of all processes, so that budgets, shares, parts and drains hold over all of them by the rules as
+// they are. They tell one another in memory what peers tell by datagram. All processes must have as many.
+// With one, this is a facade.
 type Instances struct {
 	each    []*Facade
 	first   Peer // the number of our first one
@@ -17,8 +18,8 @@
 	turn    atomic.Uint32
 }
 
-// NewInstances makes n of them for a process that the terms describe: Dispatchers and Position count processes
-// there. log takes their remarks.
+// NewInstances makes n of them for a process that the terms describe: Dispatchers and Position count
+// processes there. log takes their remarks.
 func NewInstances(t Terms, n int, seed uint64, clock func() Time, log func(string)) *Instances {
 	s := &Instances{first: Peer(t.Position * n), outside: t.Peers}
 	t.Dispatchers, t.Peers = t.Dispatchers*n, t.Peers || n > 1
@@ -69,14 +70,23 @@
 // Late tells whether an invocation that lands now would, by its hint, not be done before this process ends.
 func (s *Instances) Late(l Landing) bool { return s.each[0].Late(l) }
 
+// Workers counts those that are listed, and of them those that failures keep work from now at any instance.
+func (s *Instances) Workers() (listed, avoided int) {
+	for _, f := range s.each {
+		n, a := f.Workers()
+		listed, avoided = max(listed, n), max(avoided, a)
+	}
+	return listed, avoided
+}
+
 // PickWatch blocks until the list should be asked for.
 func (s *Instances) PickWatch(ctx context.Context) error { return s.each[0].PickWatch(ctx) }
 
 // PickProbe blocks until a worker should be probed.
 func (s *Instances) PickProbe(ctx context.Context) (Worker, error) { return s.each[0].PickProbe(ctx) }
 
-// PickNews blocks until an instance has something to tell other processes, and meanwhile tells those of this one
-// what is for them. The lock of the one that tells is not held then: two may tell each other at once.
+// PickNews blocks until an instance has something to tell other processes, and meanwhile tells those of this
+// one what is for them. The lock of the one that tells is not held then: two may tell each other at once.
 func (s *Instances) PickNews(ctx context.Context, j int) ([]News, error) {
 	for {
 		news, err := s.each[j].PickNews(ctx)
--- a/internal/program/placement.go
+++ b/internal/program/placement.go
@@ -35,6 +35,7 @@
 // Placement is where a dispatcher stands: its addresses, its limits and its neighbours.
 type Placement struct {
 	Name, Listen, PeerListen string
+	Mgmt                     string // where operators call, "" for nowhere
 	Seed                     uint64
 	Cores                    float64
 	MemoryMB, Sockets        int
@@ -93,6 +94,9 @@
 	p.Name = r.text("LB_NAME", "name")
 	p.Listen = r.address("LB_LISTEN", "listen").String()
 	p.Routing.Discovery = r.address("LB_DISCOVERY", "discovery").String()
+	if r.getenv("LB_MGMT") != "" || r.v.Exists("mgmt") {
+		p.Mgmt = r.address("LB_MGMT", "mgmt").String()
+	}
 	p.Seed = r.seed()
 	p.Cores = r.number(usualCores, 0.01, 4096, "limits", "cores")
 	p.MemoryMB = int(r.number(usualMemoryMB, leastMemoryMB, 1<<24, "limits", "memory_mb"))
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"canvasroute/decide"
+	"canvasroute/internal/drain"
 	"canvasroute/internal/routing"
 	"canvasroute/internal/transport"
 )
@@ -64,8 +65,14 @@
 	if err != nil {
 		return err
 	}
-	router := routing.New(p.Routing, facade, pool, datagrams, log)
-	server, err := transport.Listen(p.Listen, room.clients, room.bodies, router, log)
+	state := &drain.State{}
+	router := routing.New(p.Routing, facade, pool, datagrams, state, log)
+	server, err := transport.Listen(p.Listen, room.clients, room.bodies, router, state, log)
+	if err != nil {
+		return err
+	}
+	desk := &desk{router: router, drain: state, log: log}
+	door, err := desk.open(p.Mgmt)
 	if err != nil {
 		return err
 	}
@@ -83,8 +90,12 @@
 	})
 	g.Go(func() error { return router.Run(working) })
 	g.Go(func() error { return pool.Run(working) })
+	g.Go(func() error { return server.Follow(working) })
+	if door != nil {
+		g.Go(func() error { return door.Run(working) })
+	}
 	g.Go(func() error {
-		return attend(heard, failed, working, p, anew, server, router, stopAccepting, log)
+		return attend(heard, failed, working, p, anew, desk, router, stopAccepting, log)
 	})
 	err = g.Wait()
 	router.Print("exit")
@@ -105,7 +116,7 @@
 // attend answers signals: counters on SIGUSR1, the configuration anew on SIGHUP, and the drain on SIGTERM or
 // SIGINT.
 func attend(heard *signals, failed, working context.Context, p *Placement, anew func() (*Placement, error),
-	server *transport.Server, router *routing.Router, stopAccepting func(), log zerolog.Logger) error {
+	desk *desk, router *routing.Router, stopAccepting func(), log zerolog.Logger) error {
 	for {
 		select {
 		case <-working.Done():
@@ -116,11 +127,11 @@
 		case <-heard.count:
 			router.Print("asked")
 		case <-heard.reload:
-			p = reload(p, anew, router, log)
+			p = reload(p, anew, desk, router, log)
 		case s := <-heard.end:
 			log.Info().Str("signal", s.String()).Msg("draining")
 			router.Drain(min(p.Longest, longestDrain) + drainMore)
-			server.Closing()
+			desk.drain.End(time.Now())
 			select {
 			case <-time.After(acceptFor):
 			case <-failed.Done():
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -77,6 +77,7 @@
 		{`"name":"render"`, `"name":""`, "settings.operations[0].name: must be a text"},
 		{`"repeat":"idempotent"`, `"repeat":"often"`, `settings: operations[0]: unknown repeat "often"`},
 		{`"balancers":2`, `"balancers":0`, "settings: balancers: 0"},
+		{`"name":"n3"`, `"name":"n3","mgmt":"nowhere"`, `mgmt: "nowhere" is not an address`},
 		{`"settings":`, `"other":`, "settings: not an object"},
 		{`{"name"`, `["name"`, "not JSON"},
 	} {
@@ -121,9 +122,17 @@
 	return s.b.String()
 }
 
+// freeAddress is one that nobody listens on.
+func freeAddress(t *testing.T) string {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	defer free.Close()
+	return free.Addr().String()
+}
+
 // running starts a dispatcher with one worker, which answers after a wait, and a list service that is down.
-func running(t *testing.T, wait time.Duration, anew func() (*Placement, error)) (url string, log *syncBuffer,
-	ended <-chan error) {
+func running(t *testing.T, wait time.Duration, anew func() (*Placement, error), change ...func(*Placement)) (
+	url string, log *syncBuffer, ended <-chan error) {
 	worker := http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case <-time.After(wait):
@@ -136,13 +145,13 @@
 	assert.NoError(t, err)
 	go worker.Serve(ln)
 	t.Cleanup(func() { worker.Close() })
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NoError(t, err)
-	free.Close()
-	p, err := parse([]byte(configuration), environment("LB_LISTEN", free.Addr().String(), "LB_DISCOVERY",
+	p, err := parse([]byte(configuration), environment("LB_LISTEN", freeAddress(t), "LB_DISCOVERY",
 		"127.0.0.1:9"))
 	assert.NoError(t, err)
 	p.Decisions.Peers, p.Routing.Known.Entries[0].Address, p.Longest = false, ln.Addr().String(), time.Second
+	for _, c := range change {
+		c(p)
+	}
 	log, end := &syncBuffer{}, make(chan error, 1)
 	heard := listen()
 	t.Cleanup(heard.stop)
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -10,15 +10,17 @@
 
 // reload takes over what a new configuration may change while we serve: where the list service is. Workers,
 // what is known of them and what is open stay as they are. A bad file changes nothing.
-func reload(p *Placement, anew func() (*Placement, error), router *routing.Router,
+func reload(p *Placement, anew func() (*Placement, error), desk *desk, router *routing.Router,
 	log zerolog.Logger) *Placement {
 	next, err := anew()
 	if err != nil {
+		desk.rejected.Add(1)
 		log.Error().Err(err).Msg("bad configuration, the old one is kept")
 		return p
 	}
 	log.Info().Str("discovery", next.Routing.Discovery).Strs("at_next_start", later(p, next)).
 		Msg("configuration read anew")
+	desk.applied.Add(1)
 	router.Move(next.Routing.Discovery)
 	taken := *p
 	taken.Routing.Discovery = next.Routing.Discovery
@@ -34,6 +36,7 @@
 	}{
 		{"name", was.Name, is.Name},
 		{"listen", was.Listen, is.Listen},
+		{"mgmt", was.Mgmt, is.Mgmt},
 		{"peer_listen", was.PeerListen, is.PeerListen},
 		{"peers", was.Routing.Peers, is.Routing.Peers},
 		{"limits", [3]any{was.Cores, was.MemoryMB, was.Sockets}, [3]any{is.Cores, is.MemoryMB, is.Sockets}},
--- a/internal/program/room.go
+++ b/internal/program/room.go
@@ -1,5 +1,7 @@
 package program
 
+import "canvasroute/internal/operate"
+
 // Shares of the limits.
 const (
 	heapShare   = 0.75 // of the memory limit is the collector's; the rest is stacks, buffers in use and files
@@ -26,7 +28,11 @@
 // room follows from the limits on descriptors and memory, whichever allows fewer connections.
 func (p *Placement) room() room {
 	memory := float64(p.MemoryMB) * (1 << 20)
-	conns := min(p.Sockets-ownSockets, int(memory*connsShare/connBytes))
+	own := ownSockets
+	if p.Mgmt != "" {
+		own += operate.Callers + 2 // its listener, and one about to be told to go
+	}
+	conns := min(p.Sockets-own, int(memory*connsShare/connBytes))
 	r := room{bodies: int64(memory * bodiesShare), heap: int64(memory * heapShare)}
 	r.clients = int(float64(conns) * clientShare)
 	r.workers = conns - r.clients - int(float64(r.clients)*spareShare) - 1
--- a/internal/protocol/invocation.go
+++ b/internal/protocol/invocation.go
@@ -23,6 +23,9 @@
 	passed []field // goes on to workers unchanged
 }
 
+// Operation is the name of the operation that a head asks for, "" where it names none.
+func (h *Head) Operation() string { return h.Field(fieldKind) }
+
 // passedOn are the further fields that workers may make use of.
 var passedOn = []struct{ name, as string }{
 	{fieldDedup, "Idempotency-Key"}, {"content-type", "Content-Type"},
--- a/internal/routing/forward_test.go
+++ b/internal/routing/forward_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"canvasroute/decide"
+	"canvasroute/internal/drain"
 	"canvasroute/internal/protocol"
 	"canvasroute/internal/transport"
 )
@@ -95,7 +96,7 @@
 			netip.MustParseAddrPort("127.0.0.2:7001")},
 		FromUnix: func(ms float64) decide.Time { return decide.Time(ms * 10) },
 		Known:    &protocol.List{Version: 7, Whole: true, Entries: []protocol.Entry{known}},
-	}, f, transport.NewPool(4, time.Minute, zerolog.Nop()), nil, zerolog.Nop())
+	}, f, transport.NewPool(4, time.Minute, zerolog.Nop()), nil, &drain.State{}, zerolog.Nop())
 }
 
 func invocation(operation string) *protocol.Head {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 
 	"canvasroute/decide"
 	"canvasroute/internal/door"
+	"canvasroute/internal/drain"
 	"canvasroute/internal/protocol"
 	"canvasroute/internal/transport"
 )
@@ -50,23 +52,27 @@
 	forwards   errgroup.Group
 	heard      []stamp
 	counts     Counts
+	tally      tally
 	place      place
 	ids        ids
 	door       *door.Door
 
-	settled  atomic.Bool // a list is known, or the first call for it has been answered, or has failed
-	draining atomic.Bool
+	settled atomic.Bool // a list is known, or the first call for it has been answered, or has failed
+	drain   *drain.State
 }
 
 // New makes a router and gives the facade the list that it starts with.
-func New(t Terms, f *decide.Instances, p *transport.Pool, d *transport.Datagrams, log zerolog.Logger) *Router {
-	r := &Router{terms: t, facade: f, pool: p, datagrams: d, log: log, heard: make([]stamp, len(t.Peers)*f.Count()),
+func New(t Terms, f *decide.Instances, p *transport.Pool, d *transport.Datagrams, state *drain.State,
+	log zerolog.Logger) *Router {
+	r := &Router{terms: t, facade: f, pool: p, datagrams: d, drain: state, log: log,
+		heard: make([]stamp, len(t.Peers)*f.Count()),
 		place: place{address: t.Discovery}, door: door.New(float64(f.Count())),
 		operations: map[string]decide.Operation{}, owners: map[string]decide.Customer{},
 		fleet: fleet{zones: numbered(t.Zones), kinds: numbered(t.Kinds), clock: t.FromUnix, log: log,
 			numbers: map[string]decide.Worker{}, tagged: map[uint16]decide.Worker{}}}
 	for n, o := range t.Operations {
 		r.operations[o.Name] = decide.Operation(n)
+		r.tally.name(o.Name)
 	}
 	for n, name := range t.Owners {
 		r.owners[name] = decide.Customer(n)
@@ -111,7 +117,6 @@
 // is sent away, since begun it could not always be. Its client should come back late: clients still come here
 // for a while, and where dispatchers are restarted in turn, another one may just be coming up.
 func (r *Router) Drain(within time.Duration) {
-	r.draining.Store(true)
 	r.facade.EndBy(decide.Time(within / (time.Second / decide.Second)))
 }
 
@@ -119,10 +124,10 @@
 func (r *Router) Check(h *protocol.Head) *protocol.Answer {
 	switch path := h.Path(); {
 	case path == protocol.PathReady && (h.Method == "GET" || h.Method == "HEAD"):
-		if r.settled.Load() && !r.draining.Load() && r.fleet.serves() {
-			return &protocol.Answer{Status: 200}
+		if r.Ready() != nil {
+			return &protocol.Answer{Status: 503}
 		}
-		return &protocol.Answer{Status: 503}
+		return &protocol.Answer{Status: 200}
 	case path == protocol.PathReady:
 		return r.turnedAway(&protocol.Answer{Status: 405, Allow: "GET, HEAD"})
 	case path != protocol.PathInvoke:
@@ -130,13 +135,42 @@
 	case h.Method != "POST":
 		return r.turnedAway(&protocol.Answer{Status: 405, Allow: "POST"})
 	}
+	if !r.drain.At(time.Now()).Admits() {
+		return r.sentAway(h)
+	}
 	if !r.door.Admit() { // nothing is known of it yet, nor has its body been read
 		r.counts.AtDoor.Add(1)
-		return &protocol.Answer{Status: 503, ComeBack: r.terms.ComeBackMost}
+		return r.sentAway(h)
+	}
+	return nil
+}
+
+// Ready is nil while clients should come here, and else says why not.
+func (r *Router) Ready() error {
+	switch phase := r.drain.At(time.Now()); {
+	case !phase.Takes():
+		return fmt.Errorf("%w: %v", errNotTaking, phase)
+	case !r.settled.Load():
+		return fmt.Errorf("%w: no list of workers yet", errNotTaking)
+	case !r.fleet.serves():
+		return fmt.Errorf("%w: no worker is listed", errNotTaking)
 	}
 	return nil
 }
 
+var errNotTaking = errors.New("takes no clients")
+
+// sentAway throttles what was not taken, by its head alone where there is one.
+func (r *Router) sentAway(h *protocol.Head) *protocol.Answer {
+	a := &protocol.Answer{Status: 503, ComeBack: r.terms.ComeBackMost}
+	if h != nil {
+		if ends := r.tally.of(h.Operation()); ends != nil {
+			ends.end(a)
+		}
+	}
+	return a
+}
+
 func (r *Router) turnedAway(a *protocol.Answer) *protocol.Answer {
 	r.counts.Malformed.Add(1)
 	return a
@@ -148,9 +182,9 @@
 }
 
 // Overfull answers what comes on a connection beyond the budget: it was never sent anywhere.
-func (r *Router) Overfull() *protocol.Answer {
+func (r *Router) Overfull(h *protocol.Head) *protocol.Answer {
 	r.counts.Overfull.Add(1)
-	return &protocol.Answer{Status: 503, ComeBack: r.terms.ComeBackMost}
+	return r.sentAway(h)
 }
 
 // landing reads what the decisions need to know of an invocation.
@@ -190,8 +224,19 @@
 	}
 	defer r.ids.close(inv.ID)
 	inv.Body = body
+	ends := r.tally.of(inv.Operation)
+	ends.out.Add(1)
+	defer ends.out.Add(-1)
+	a := r.carry(ctx, inv, l, came)
+	ends.end(a)
+	return a
+}
+
+// carry brings an invocation that was taken to its answer, nil where its client has left.
+func (r *Router) carry(ctx context.Context, inv *protocol.Invocation, l decide.Landing,
+	came time.Time) *protocol.Answer {
 	r.counts.Taken.Add(1)
-	if r.draining.Load() && r.facade.Late(l) {
+	if phase := r.drain.At(time.Now()); !phase.Admits() || phase.Ends() && r.facade.Late(l) {
 		r.counts.Throttled.Add(1)
 		return &protocol.Answer{Status: 503, ComeBack: r.terms.ComeBackMost}
 	}
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -65,7 +65,7 @@
 	r.fleet.take(&protocol.List{Whole: true})
 	assert.Equal(t, 503, r.Check(h).Status, "there is no worker")
 	r.fleet.take(&protocol.List{Entries: []protocol.Entry{{ID: "w", State: protocol.Ready}}})
-	r.Drain(time.Second)
+	r.drain.End(time.Now())
 	assert.Equal(t, 503, r.Check(h).Status, "it drains")
 }
 
@@ -74,6 +74,7 @@
 func TestDispatcherThatDrainsServesWhatItCanStillFinish(t *testing.T) {
 	r := routerTo(standIn(t, says(chunked(done)+last, false)))
 	r.terms.ComeBackMost = 2 * time.Second
+	r.drain.End(time.Now())
 	r.Drain(2 * time.Second)
 	h, _, err := protocol.ParseAsk([]byte("POST /api HTTP/1.1\r\nReq-Id: a2\r\nReq-Kind: once\r\n" +
 		"Req-Cost: 1500000\r\n\r\n"))
--- a/internal/transport/places.go
+++ b/internal/transport/places.go
@@ -5,6 +5,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"canvasroute/internal/drain"
 )
 
 // How long a connection that has to make room still has for a message on its way to it.
@@ -18,12 +20,12 @@
 	most  int
 	spare int // beyond most, for those that are answered as overfull or on their way out
 	freed chan struct{}
+	drain *drain.State
 
-	mu      sync.Mutex
-	held    map[*Conn]*place
-	kept    int               // of those held, the ones that neither came beyond the budget nor are to end
-	yield   [ranks]*list.List // connections that may have to make room, by rank, the longest at it first
-	retired bool              // idle connections end
+	mu    sync.Mutex
+	held  map[*Conn]*place
+	kept  int               // of those held, the ones that neither came beyond the budget nor are to end
+	yield [ranks]*list.List // connections that may have to make room, by rank, the longest at it first
 }
 
 // place is what a client's connection does, and since when.
@@ -47,8 +49,9 @@
 	answering // a whole message has been taken: it is owed an answer
 )
 
-func newPlaces(most int) *places {
-	s := &places{most: most, spare: max(most/16, 1), freed: make(chan struct{}, 1), held: map[*Conn]*place{}}
+func newPlaces(most int, state *drain.State) *places {
+	s := &places{most: most, drain: state, spare: max(most/16, 1), freed: make(chan struct{}, 1),
+		held: map[*Conn]*place{}}
 	for r := range s.yield {
 		s.yield[r] = list.New()
 	}
@@ -86,6 +89,9 @@
 	s.count(p, 1)
 	s.queue(c, p)
 	c.Within(firstWithin)
+	if s.retired() {
+		c.Within(lastWithin)
+	}
 	return over
 }
 
@@ -131,8 +137,9 @@
 	}
 }
 
-// queue puts a connection last among those of its rank, as what it does has just begun. So the one that has done
-// what it does longest is found at once: a flood of connections costs the same for each, whatever is held.
+// queue puts a connection last among those of its rank, as what it does has just begun. So the one that has
+// done what it does longest is found at once: a flood of connections costs the same for each, whatever is
+// held.
 func (s *places) queue(c *Conn, p *place) {
 	p.leave()
 	if rank, may := p.rank(); may {
@@ -174,7 +181,7 @@
 	s.count(p, 1)
 	s.queue(c, p)
 	switch {
-	case s.retired:
+	case s.retired():
 		c.Within(crossWithin)
 	case p.proven:
 		c.Within(idleWithin)
@@ -193,7 +200,7 @@
 	s.queue(c, p)
 	switch {
 	case to != reading || p.evicted:
-	case s.retired:
+	case s.retired():
 		c.Within(lastWithin)
 	case p.first:
 	case p.proven:
@@ -217,11 +224,13 @@
 	return s.held[c].evicted
 }
 
+// retired tells whether idle connections end.
+func (s *places) retired() bool { return !s.drain.At(time.Now()).KeepsIdle() }
+
 // retire ends the idle connections, and those about a message soon.
 func (s *places) retire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.retired = true
 	for c, p := range s.held {
 		switch p.doing {
 		case standing:
--- a/internal/transport/places_test.go
+++ b/internal/transport/places_test.go
@@ -8,12 +8,14 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
+
+	"canvasroute/internal/drain"
 )
 
-// Guards against a connection that is counted or ranked as what it was: the budget would be wrong for good, or one
-// that is owed an answer would make room.
+// Guards against a connection that is counted or ranked as what it was: the budget would be wrong for good,
+// or one that is owed an answer would make room.
 func TestPlacesRankAndCountWhateverConnectionsDo(t *testing.T) {
-	rng, s := rand.New(rand.NewPCG(1, 2)), newPlaces(20)
+	rng, s := rand.New(rand.NewPCG(1, 2)), newPlaces(20, &drain.State{})
 	var conns []*Conn
 	for range 4000 {
 		if len(conns) == 0 || rng.IntN(6) == 0 {
@@ -75,9 +77,10 @@
 	assert.Equal(t, kept, s.kept)
 }
 
-// BenchmarkNewcomerWhereAllPlacesAreTaken is the cost of a connection in a flood: it must not grow with the places.
+// BenchmarkNewcomerWhereAllPlacesAreTaken is the cost of a connection in a flood: it must not grow with the
+// places.
 func BenchmarkNewcomerWhereAllPlacesAreTaken(b *testing.B) {
-	s := newPlaces(5000)
+	s := newPlaces(5000, &drain.State{})
 	a, other := net.Pipe()
 	defer other.Close()
 	for range 5000 {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -5,12 +5,12 @@
 	"errors"
 	"fmt"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"canvasroute/internal/drain"
 	"canvasroute/internal/protocol"
 )
 
@@ -30,8 +30,8 @@
 	Serve(ctx context.Context, h *protocol.Head, body []byte, came time.Time) *protocol.Answer
 	// Check answers at once what needs no body, or cannot be taken; nil if the body should be read.
 	Check(h *protocol.Head) *protocol.Answer
-	// Overfull answers what comes on a connection beyond the budget.
-	Overfull() *protocol.Answer
+	// Overfull answers what comes on a connection beyond the budget; h is nil where no head has come.
+	Overfull(h *protocol.Head) *protocol.Answer
 	// Broken answers what cannot be read.
 	Broken(err error) *protocol.Answer
 }
@@ -43,20 +43,23 @@
 	log     zerolog.Logger
 	places  *places
 	bodies  allowance
-	closing atomic.Bool // each answer is the last one of its connection
+	drain   *drain.State
 }
 
 // errClientLeft is the cause of an invocation's context that its client has ended.
 var errClientLeft = errors.New("client left")
 
 // Listen opens the listener. Beyond most connections there may be a sixteenth more for a moment. The bodies
-// that are held at once have so many bytes at the most.
-func Listen(addr string, most int, bodies int64, handler Handler, log zerolog.Logger) (*Server, error) {
+// that are held at once have so many bytes at the most. The drain's state says which answers are the last
+// ones of their connections, and whether a connection may stand idle.
+func Listen(addr string, most int, bodies int64, handler Handler, state *drain.State,
+	log zerolog.Logger) (*Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("listening for clients: %w", err)
 	}
-	s := &Server{ln: ln, handler: handler, log: log, places: newPlaces(most)}
+	s := &Server{ln: ln, handler: handler, log: log, drain: state,
+		places: newPlaces(most, state)}
 	s.bodies.left.Store(max(bodies, protocol.MostBody))
 	return s, nil
 }
@@ -86,19 +89,31 @@
 			return nil
 		})
 	}
-	s.Retire()
+	s.drain.Stop(time.Now())
+	s.places.retire()
 	return conns.Wait()
 }
 
-// Retire makes each connection end after the answer it is owed, and the idle ones now.
-func (s *Server) Retire() {
-	s.closing.Store(true)
-	s.places.retire()
+// Follow ends the connections that stand idle whenever the drain's state lets none, until ctx ends.
+func (s *Server) Follow(ctx context.Context) error {
+	for {
+		wait, changed := s.drain.Next(time.Now())
+		if !s.drain.At(time.Now()).KeepsIdle() {
+			s.places.retire()
+		}
+		var passes <-chan time.Time
+		if wait > 0 {
+			passes = time.After(wait)
+		}
+		select {
+		case <-changed:
+		case <-passes:
+		case <-ctx.Done():
+			return nil
+		}
+	}
 }
 
-// Closing makes each answer from now on the last one of its connection.
-func (s *Server) Closing() { s.closing.Store(true) }
-
 // serve answers one connection's messages in turn.
 func (s *Server) serve(c *Conn, over bool) {
 	for {
@@ -130,7 +145,7 @@
 	}
 	room := body.Room()
 	if !s.bodies.take(room) {
-		return s.turnAway(c, &h, body, s.handler.Overfull(), true)
+		return s.turnAway(c, &h, body, s.handler.Overfull(&h), true)
 	}
 	defer func() { s.bodies.give(room) }()
 	content, err := c.Body(body, protocol.MostBody)
@@ -142,7 +157,7 @@
 	room = int64(len(content))
 	s.places.turn(c, answering)
 	if over {
-		return s.answer(c, s.handler.Overfull(), true)
+		return s.answer(c, s.handler.Overfull(&h), true)
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
@@ -183,13 +198,13 @@
 	evicted := why == TooSlow && s.places.isEvicted(c)
 	switch {
 	case evicted && c.in.Len() > 0:
-		if _, sent := s.answer(c, s.handler.Overfull(), true); sent == nil {
+		if _, sent := s.answer(c, s.handler.Overfull(nil), true); sent == nil {
 			c.linger(crossWithin) // its place is wanted
 		}
 		return OverBudget, nil
 	case evicted:
 		return OverBudget, nil
-	case why == TooSlow && c.in.Len() == 0 && s.closing.Load():
+	case why == TooSlow && c.in.Len() == 0 && s.drain.At(time.Now()).Last():
 		return Ending, nil
 	case why == TooSlow && c.in.Len() == 0:
 		return IdleRetired, nil
@@ -217,7 +232,7 @@
 }
 
 func (s *Server) answer(c *Conn, a *protocol.Answer, closes bool) (Reason, error) {
-	closes = closes || s.closing.Load()
+	closes = closes || s.drain.At(time.Now()).Last()
 	if err := c.Send(answerWithin, protocol.AppendAnswerHead(nil, a, closes), a.Body); err != nil {
 		return Blame(err), err
 	}
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 
+	"canvasroute/internal/drain"
 	"canvasroute/internal/protocol"
 )
 
@@ -35,13 +36,13 @@
 	return &protocol.Answer{Status: 200, Body: body}
 }
 
-func (e *echo) Overfull() *protocol.Answer        { return &protocol.Answer{Status: 503} }
-func (e *echo) Broken(err error) *protocol.Answer { return protocol.TurnAway(err) }
+func (e *echo) Overfull(*protocol.Head) *protocol.Answer { return &protocol.Answer{Status: 503} }
+func (e *echo) Broken(err error) *protocol.Answer        { return protocol.TurnAway(err) }
 
 // serving runs a server until the test ends.
 func serving(t *testing.T, most int) (*Server, *echo, func()) {
 	e := &echo{left: make(chan error, 1)}
-	s, err := Listen("127.0.0.1:0", most, 1<<20, e, zerolog.Nop())
+	s, err := Listen("127.0.0.1:0", most, 1<<20, e, &drain.State{}, zerolog.Nop())
 	assert.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -209,7 +210,7 @@
 	s, _, end := serving(t, 4)
 	c, r := connect(t, s)
 	ask(t, c, r, post)
-	s.Closing()
+	s.drain.End(time.Now())
 	_, _, closes := ask(t, c, r, post)
 	assert.True(t, closes)
 	connect(t, s)
