Upgrade under load: the listener and what is known are handed to the second process

Cause: the second process could not bind the clients' address and exited with 1 (a crash while it ran twice); its start also knew nothing of what the first one had out, had learnt, or had open.

Design (internal/upgrade, internal/program/handover.go): both meet at a Unix socket in $TMPDIR. The listener and the datagram socket go over as descriptors, so there is one accept queue and whatever waits in it is lost with neither process; what was learnt goes over by name, and every 50 ms each tells what it has out, which counts as its own, so cold budgets, slots, ids and peers see one dispatcher. The old one stops accepting when the new one serves and accepts again if that one dies; descriptors and memory are divided. Way not taken: SO_REUSEPORT with two queues: what waits in the old queue at its close is reset. Without mgmt in the configuration nothing of this is opened. Seen while testing: a successor that died left the place refusing callers for a moment (host closed its socket while meeting one); the socket now stays open, and is made anew only where another process has taken the place.

--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -7,7 +7,8 @@
 	"github.com/stretchr/testify/assert"
 )
 
-// coldWorker is one that has just started: each of its slots is slow by its age, beyond them it takes nothing.
+// coldWorker is one that has just started: each of its slots is slow by its age, beyond them it takes
+// nothing.
 type coldWorker struct {
 	now, born Time
 	fleet     []*Dispatcher
@@ -49,7 +50,7 @@
 	d := l.c.fleet[l.number]
 	i := &d.invs[inv]
 	j := &job{from: d, inv: inv, n: len(i.forwards) - 1, left: float64(i.size)}
-	l.c.sent = append(l.c.sent, spend{l.c.now, i.size})
+	l.c.sent = append(l.c.sent, spend{at: l.c.now, work: i.size})
 	if len(l.c.running) < coldSlots {
 		l.c.running = append(l.c.running, j)
 		return
@@ -91,8 +92,8 @@
 	}
 }
 
-// load lands work at all of them, far more than the worker can do, from its start until it is warm; it returns
-// the most that was sent within the span, over what the rule allows at the end of it.
+// load lands work at all of them, far more than the worker can do, from its start until it is warm; it
+// returns the most that was sent within the span, over what the rule allows at the end of it.
 func (c *coldWorker) load(span Time) (worst float64) {
 	sizes := []Work{600, 1500, 4000, 9000, 20000}
 	for n := 0; c.now-c.born < 19*Second; n++ {
@@ -129,8 +130,8 @@
 	return c
 }
 
-// Guards against two faults at once: a worker that is open to one dispatcher of many is hardly used until it is
-// warm, and one that all rush to whenever a slot comes free falls over.
+// Guards against two faults at once: a worker that is open to one dispatcher of many is hardly used until it
+// is warm, and one that all rush to whenever a slot comes free falls over.
 func TestColdWorkerIsUsedByAllWhoTellOneAnotherAndNotPushedOver(t *testing.T) {
 	for _, n := range []int{2, 10, 40} {
 		c := coldFleet(n)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -137,8 +137,8 @@
 	}
 }
 
-// silent counts a forward that broke or found nobody for its worker's zone. A zone that is lost is still listed
-// for seconds, and an invocation has not forwards enough to find out worker by worker.
+// silent counts a forward that broke or found nobody for its worker's zone. A zone that is lost is still
+// listed for seconds, and an invocation has not forwards enough to find out worker by worker.
 func (d *Dispatcher) silent(w Worker) {
 	z := d.workerZone[w]
 	other := func(w Worker) bool {
@@ -242,9 +242,9 @@
 	d.touch(l.Tgt)
 }
 
-// queueUp lets those who hear that a full cold worker has room again try one after the other, each once it would
-// know of the one before: else all of them send there at once, and what is sent counts even if it finds the
-// worker full. The one whose forward ended there goes first, by knowing first.
+// queueUp lets those who hear that a full cold worker has room again try one after the other, each once it
+// would know of the one before: else all of them send there at once, and what is sent counts even if it finds
+// the worker full. The one whose forward ended there goes first, by knowing first.
 func (d *Dispatcher) queueUp(w Worker) {
 	keepers := max(d.keep[w][1]-d.keep[w][0], 1)
 	place := (Time(d.position) + d.now/Second) % Time(keepers)
@@ -405,11 +405,11 @@
 	return d.coldFrom + (1-d.coldFrom)*float64(max(d.now-d.born[w], 0))/float64(d.ramp)
 }
 
-// withinCold keeps what all may send a cold worker within the span to its budget. Where peers tell, those send
-// there who are told of it, as long as fewer forwards are out there than its kind was seen to work on, and none
-// is larger than its part of the budget: what is out was sent within the span at the worst, and what ended
-// within it was no more than the worker can do. Without messages each of the first few ranks has a part, more
-// by its age; a part for each of many would hold no invocation.
+// withinCold keeps what all may send a cold worker within the span to its budget. Where peers tell, those
+// send there who are told of it, as long as fewer forwards are out there than its kind was seen to work on,
+// and none is larger than its part of the budget: what is out was sent within the span at the worst, and what
+// ended within it was no more than the worker can do. Without messages each of the first few ranks has a
+// part, more by its age; a part for each of many would hold no invocation.
 func (d *Dispatcher) withinCold(w Worker, size Work) bool {
 	warmth := d.warmth(w)
 	if warmth == 1 {
@@ -500,7 +500,7 @@
 	if d.startNotes {
 		d.waiting[w]++
 	}
-	d.spent[w] = append(d.spentSince(w), spend{d.now, i.size})
+	d.spent[w] = append(d.spentSince(w), spend{at: d.now, work: i.size})
 	d.note(w)
 	d.link.Forward(inv, w, 0)
 }
--- a/decide/facade.go
+++ b/decide/facade.go
@@ -47,6 +47,7 @@
 	tickets []*Ticket
 	free    []Inv
 	open    int
+	twins   [sides]twin
 	endBy   Time // no answer is possible later; never, but for a dispatcher that ends
 
 	wakeKey uint64
--- /dev/null
+++ b/decide/legacy.go
@@ -0,0 +1,158 @@
+package decide
+
+// Legacy is what a dispatcher has learnt, for a successor that goes on with it. Workers and zones keep their
+// numbers; operations, customers and kinds stand in the order of the successor's terms, with nothing learnt
+// of new ones.
+type Legacy struct {
+	Operations []LearntOperation
+	Customers  []LearntCustomer
+	Kinds      []LearntKind
+	Zones      []LearntZone
+	Workers    []LearntWorker
+
+	Sample      []Work
+	Sampled     int
+	Worth, Luck float64
+	BlindAt     Time
+	Landings    int
+}
+
+// LearntOperation is what was learnt of one operation.
+type LearntOperation struct {
+	Longest           Time
+	Mean, Asked, Lost float64
+	Landed            int
+}
+
+// LearntCustomer is the traffic of one customer here.
+type LearntCustomer struct {
+	Used float64
+	At   Time
+}
+
+// LearntKind is what was learnt of the slots of a kind; Slots is 0 for nothing.
+type LearntKind struct {
+	Slots, Most float64
+	Votes       []int
+}
+
+// LearntZone is what failures have shown of one zone.
+type LearntZone struct {
+	Quiet int
+	At    Time
+}
+
+// LearntWorker is what is known of one worker beside the list.
+type LearntWorker struct {
+	Fails           int
+	TrialAt, OpenAt Time
+	Heard           []Heard
+	Spent           []Spending
+}
+
+// Heard is what a peer last told of a worker.
+type Heard struct {
+	From     Peer
+	InFlight int
+	At       Time
+}
+
+// Spending is work sent to a worker at a time.
+type Spending struct {
+	At   Time
+	Work Work
+}
+
+// Legacy is what was learnt here.
+func (f *Facade) Legacy() Legacy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := f.d
+	l := Legacy{Sample: append([]Work(nil), d.sample...), Sampled: d.sampled, Worth: d.worth, Luck: d.luck,
+		BlindAt: d.blindAt, Landings: d.landings}
+	for _, o := range d.ops {
+		l.Operations = append(l.Operations, LearntOperation{o.longest, o.mean, o.asked, o.lost, o.landed})
+	}
+	for c := range d.used {
+		l.Customers = append(l.Customers, LearntCustomer{d.used[c], d.usedAt[c]})
+	}
+	for k := range d.slots {
+		l.Kinds = append(l.Kinds, LearntKind{d.slots[k], d.most[k], append([]int(nil), d.votes[k]...)})
+	}
+	for z := range d.quiet {
+		l.Zones = append(l.Zones, LearntZone{d.quiet[z], d.zoneAt[z]})
+	}
+	for w := range d.hash {
+		learnt := LearntWorker{Fails: d.fails[w], TrialAt: d.trialAt[w], OpenAt: d.openAt[w]}
+		for _, h := range d.heard[w] {
+			learnt.Heard = append(learnt.Heard, Heard{h.from, h.inFlight, h.at})
+		}
+		for _, s := range d.spent[w] {
+			learnt.Spent = append(learnt.Spent, Spending{s.at, s.work})
+		}
+		l.Workers = append(l.Workers, learnt)
+	}
+	return l
+}
+
+// Inherit goes on with what a predecessor has learnt. The list has to be known, and nothing may have landed
+// yet.
+func (f *Facade) Inherit(l Legacy) {
+	f.with(func(d *Dispatcher) {
+		d.sample, d.sampled, d.worth, d.luck = l.Sample, l.Sampled, l.Worth, l.Luck
+		d.blindAt, d.landings, d.probeAt = l.BlindAt, l.Landings, l.Landings
+		if len(d.sample) > 0 {
+			d.cut()
+		}
+		for o := range d.ops[:min(len(d.ops), len(l.Operations))] {
+			op, was := &d.ops[o], l.Operations[o]
+			op.longest, op.mean, op.asked, op.lost, op.landed = was.Longest, was.Mean, was.Asked, was.Lost, was.Landed
+		}
+		for c := range d.used[:min(len(d.used), len(l.Customers))] {
+			d.used[c], d.usedAt[c] = l.Customers[c].Used, l.Customers[c].At
+		}
+		for k := range d.slots[:min(len(d.slots), len(l.Kinds))] {
+			if was := l.Kinds[k]; was.Slots > 0 {
+				d.votes[k], d.most[k] = was.Votes, was.Most
+				d.believe(Kind(k), was.Slots)
+			}
+		}
+		for z := range d.quiet[:min(len(d.quiet), len(l.Zones))] {
+			d.quiet[z], d.zoneAt[z] = l.Zones[z].Quiet, l.Zones[z].At
+		}
+		for w := range d.hash[:min(len(d.hash), len(l.Workers))] {
+			d.inheritWorker(Worker(w), l.Workers[w])
+		}
+	})
+}
+
+func (d *Dispatcher) inheritWorker(w Worker, was LearntWorker) {
+	d.fails[w], d.trialAt[w], d.openAt[w] = was.Fails, was.TrialAt, was.OpenAt
+	for _, h := range was.Heard {
+		d.Heard(h.From, Load{w, h.InFlight})
+		d.heard[w][len(d.heard[w])-1].at = h.At
+	}
+	for _, s := range was.Spent {
+		d.spent[w] = append(d.spent[w], spend{at: s.At, work: s.Work, told: true})
+	}
+}
+
+// Legacy is what each instance has learnt.
+func (s *Instances) Legacy() (all []Legacy) {
+	for _, f := range s.each {
+		all = append(all, f.Legacy())
+	}
+	return all
+}
+
+// Inherit goes on with what a predecessor's instances have learnt; it does nothing where they were not as
+// many.
+func (s *Instances) Inherit(all []Legacy) bool {
+	if len(all) != len(s.each) {
+		return false
+	}
+	for n, f := range s.each {
+		f.Inherit(all[n])
+	}
+	return true
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -37,6 +37,7 @@
 type spend struct {
 	at   Time
 	work Work
+	told bool // by another process of this dispatcher
 }
 
 // hearing is what a peer last told of a worker.
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -17,20 +17,28 @@
 type Phase uint8
 
 const (
-	Serving Phase = iota
-	Leaving       // told to empty: health says no, open connections are still served
-	Away          // emptied, but for what was taken before
-	Ending        // the process ends, and accepts a little longer
-	Closing       // it accepts no more
+	Serving  Phase = iota
+	Leaving        // told to empty: health says no, open connections are still served
+	Away           // emptied, but for what was taken before
+	Relieved       // a successor accepts in its place; open connections are still served
+	Ending         // the process ends, and accepts a little longer
+	Yielding       // it ends, and a successor accepts in its place
+	Closing        // it ends, and nothing more is read on connections that stand idle
 )
 
-func (p Phase) String() string {
-	return [...]string{"serving", "leaving", "away", "ending", "closing"}[p]
-}
+var phases = [...]string{"serving", "leaving", "away", "relieved", "ending", "yielding", "closing"}
+
+func (p Phase) String() string { return phases[p] }
 
-// Takes tells whether clients should come: what health says.
+// Takes tells whether this process takes clients: what its operators are told.
 func (p Phase) Takes() bool { return p == Serving }
 
+// Healthy tells whether clients should come to the dispatcher, whichever of its processes they then meet.
+func (p Phase) Healthy() bool { return p == Serving || p == Relieved || p == Yielding }
+
+// Accepts tells whether new connections are taken from the listener's queue.
+func (p Phase) Accepts() bool { return p != Relieved && p != Yielding && p != Closing }
+
 // Last tells whether each answer ends its connection.
 func (p Phase) Last() bool { return p != Serving }
 
@@ -41,7 +49,7 @@
 func (p Phase) KeepsIdle() bool { return p != Away && p != Closing }
 
 // Ends tells whether the process ends.
-func (p Phase) Ends() bool { return p == Ending || p == Closing }
+func (p Phase) Ends() bool { return p == Ending || p == Yielding || p == Closing }
 
 // State is a dispatcher's phase. The zero State serves.
 type State struct {
@@ -84,12 +92,37 @@
 	if s.phase.Ends() {
 		return ErrEnding
 	}
-	if s.phase != Serving {
+	if s.phase == Leaving {
 		s.turn(Serving, now)
 	}
 	return nil
 }
 
+// Relieve leaves accepting to a successor; one told to leave takes no clients anyway, and goes on leaving. It
+// fails with ErrEnding where nothing is accepted any more.
+func (s *State) Relieve(now time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch s.phase {
+	case Closing:
+		return ErrEnding
+	case Ending, Yielding:
+		s.turn(Yielding, now)
+	case Serving:
+		s.turn(Relieved, now)
+	}
+	return nil
+}
+
+// Resume takes clients again, as the successor has died; one that ends already goes on ending.
+func (s *State) Resume(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.phase == Relieved {
+		s.turn(Serving, now)
+	}
+}
+
 // End begins the end of the process. One that is away stays so for those that come.
 func (s *State) End(now time.Time) {
 	s.mu.Lock()
@@ -98,6 +131,8 @@
 	case s.phase.Ends():
 	case s.at(now) == Away:
 		s.turn(Closing, now)
+	case s.phase == Relieved:
+		s.turn(Yielding, now)
 	default:
 		s.turn(Ending, now)
 	}
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -69,3 +69,23 @@
 	assert.NoError(t, s.Join(after(time.Second)))
 	<-changed
 }
+
+// Guards against a fleet that sends clients elsewhere while an upgrade goes on, and against nobody accepting.
+func TestASuccessorRelievesAndItsDeathResumes(t *testing.T) {
+	var s State
+	assert.NoError(t, s.Relieve(start))
+	p := s.At(start)
+	assert.Equal(t, []bool{false, true, false, true, true, true}, []bool{p.Takes(), p.Healthy(), p.Accepts(), p.Last(),
+		p.Admits(), p.KeepsIdle()})
+	s.Resume(start)
+	assert.Equal(t, Serving, s.At(start))
+	assert.NoError(t, s.Relieve(start))
+	s.End(start)
+	assert.Equal(t, Yielding, s.At(start))
+	assert.True(t, s.At(start).Healthy(), "the successor takes clients")
+	s.Resume(start)
+	assert.Equal(t, Yielding, s.At(start), "it goes on ending")
+	s.Stop(start)
+	assert.ErrorIs(t, s.Relieve(start), ErrEnding)
+	assert.False(t, s.At(start).KeepsIdle())
+}
--- a/internal/program/desk.go
+++ b/internal/program/desk.go
@@ -12,10 +12,16 @@
 	"canvasroute/internal/routing"
 )
 
+const (
+	callLeave = string(protocol.CallLeave)
+	callJoin  = string(protocol.CallJoin)
+)
+
 // desk does what operators ask at their door.
 type desk struct {
 	router            *routing.Router
 	drain             *drain.State
+	handover          *handover
 	log               zerolog.Logger
 	applied, rejected atomic.Int64 // configurations read anew
 }
@@ -30,18 +36,23 @@
 
 func (d *desk) Health() error { return d.router.Ready() }
 
+// Leave empties the dispatcher. What is called here while a successor serves is meant for that one.
 func (d *desk) Leave() error {
+	if passed, err := d.handover.pass(callLeave); passed {
+		return err
+	}
 	d.drain.Leave(time.Now())
-	d.log.Info().Msg("emptying, as asked")
 	return nil
 }
 
 func (d *desk) Join() error {
-	if err := d.drain.Join(time.Now()); err != nil {
+	if d.drain.At(time.Now()).Ends() {
+		return drain.ErrEnding
+	}
+	if passed, err := d.handover.pass(callJoin); passed {
 		return err
 	}
-	d.log.Info().Msg("taking clients again, as asked")
-	return nil
+	return d.drain.Join(time.Now())
 }
 
 func (d *desk) Figures() []protocol.Figure {
--- /dev/null
+++ b/internal/program/handover.go
@@ -0,0 +1,250 @@
+package program
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"canvasroute/decide"
+	"canvasroute/internal/drain"
+	"canvasroute/internal/routing"
+	"canvasroute/internal/transport"
+	"canvasroute/internal/upgrade"
+)
+
+// tellEvery is how often the two processes of an upgrade tell each other what is out.
+const tellEvery = 50 * time.Millisecond
+
+// The names of the sockets that are handed over.
+const (
+	clientsSocket = upgrade.Clients
+	peersSocket   = upgrade.Peers
+)
+
+// handover is what a process does while another one of the same dispatcher is there: the one before it, or
+// the one after it. Both share one listener's queue and one socket for datagrams, count what the other has
+// out as theirs, and keep within the limits together.
+type handover struct {
+	place     upgrade.Place
+	heir      *upgrade.Heir // from the process before, nil where there is none
+	room      room
+	state     *drain.State
+	router    *routing.Router
+	server    *transport.Server
+	pool      *transport.Pool
+	listener  syscall.Conn
+	datagrams *transport.Datagrams
+	log       zerolog.Logger
+
+	mu        sync.Mutex
+	successor *upgrade.Link // one that serves
+	twins     int           // processes that the limits are shared with
+}
+
+// meet looks for the process before this one. Without operators' door there is no upgrade: nothing is looked
+// for.
+func meet(p *Placement, log zerolog.Logger) *handover {
+	if p.Mgmt == "" {
+		return nil
+	}
+	h := &handover{place: upgrade.PlaceOf(os.TempDir(), p.Name, p.Listen, p.PeerListen), log: log}
+	var err error
+	if h.heir, err = upgrade.Knock(h.place); err != nil {
+		log.Warn().Err(err).Msg("nothing is handed over: starting beside whoever is there")
+	}
+	if h.heir != nil {
+		log.Info().Int("sockets", len(h.heir.Sockets)).Int("bytes", len(h.heir.Legacy)).Msg("predecessor met")
+	}
+	return h
+}
+
+// socket is one that was handed over, nil where it was not.
+func (h *handover) socket(name string) *os.File {
+	if h == nil || h.heir == nil {
+		return nil
+	}
+	return h.heir.Sockets[name]
+}
+
+func (h *handover) legacy() json.RawMessage {
+	if h == nil || h.heir == nil {
+		return nil
+	}
+	return h.heir.Legacy
+}
+
+// run waits for a successor, and meanwhile sees the predecessor off.
+func (h *handover) run(ctx context.Context) error {
+	if h.heir != nil {
+		go h.follow(ctx) // ends with the link, which ends with ctx
+	}
+	host := upgrade.Host{Place: h.place, Log: h.log, Sockets: h.sockets, Meet: h.relieve,
+		Legacy: func() (any, error) { return h.router.Legacy(), nil },
+		Ends:   func() bool { return h.state.At(time.Now()).Ends() }}
+	return host.Run(ctx)
+}
+
+func (h *handover) sockets() []upgrade.Socket {
+	all := []upgrade.Socket{{Name: upgrade.Clients, Conn: h.listener}}
+	if h.datagrams != nil {
+		all = append(all, upgrade.Socket{Name: upgrade.Peers, Conn: h.datagrams.Socket()})
+	}
+	return all
+}
+
+// follow goes on beside the predecessor until it has ended.
+func (h *handover) follow(ctx context.Context) {
+	l := h.heir.Link
+	h.share(1)
+	h.bound(h.room.clients/2, h.room.workers/2) // until it tells what it has
+	stop := h.tell(ctx, l, func() routing.Twin { return h.router.Twin(decide.Predecessor) })
+	defer stop()
+	if err := l.SendServing(); err != nil {
+		h.log.Warn().Err(err).Msg("predecessor cannot be told")
+	}
+	err := l.Follow(upgrade.Events{
+		Twin: func(b json.RawMessage) {
+			if t, ok := h.twin(b); ok {
+				h.router.Meet(decide.Predecessor, t)
+				h.bound(h.room.clients-t.Clients, h.room.workers-t.Workers)
+			}
+		},
+		Call: func(call string) {
+			h.log.Info().Str("call", call).Msg("operator, by way of the predecessor")
+			now := time.Now()
+			if call == callLeave {
+				h.state.Leave(now)
+			} else if err := h.state.Join(now); err != nil {
+				h.log.Warn().Err(err).Msg("call")
+			}
+		},
+	})
+	h.router.Part(decide.Predecessor)
+	h.share(-1)
+	h.bound(h.room.clients, h.room.workers)
+	h.log.Info().AnErr("cause", err).Msg("predecessor has ended")
+}
+
+// relieve goes on beside a successor until one of the two has ended. If it is the successor, this process
+// takes clients again, unless it ends itself.
+func (h *handover) relieve(ctx context.Context, l *upgrade.Link) {
+	h.share(1)
+	clients, workers := h.server.Held(), h.pool.Held()
+	clients, workers = (clients+h.room.clients)/2, (workers+h.room.workers)/2 // half of what is free
+	serves := false
+	var mu sync.Mutex
+	stop := h.tell(ctx, l, func() routing.Twin {
+		mu.Lock()
+		defer mu.Unlock()
+		if serves {
+			clients, workers = min(clients, h.server.Held()), min(workers, h.pool.Held()+1)
+		}
+		h.bound(clients, workers)
+		t := h.router.Twin(decide.Successor)
+		t.Clients, t.Workers = clients, workers
+		return t
+	})
+	defer stop()
+	err := l.Follow(upgrade.Events{
+		Serving: func() {
+			mu.Lock()
+			serves = true
+			mu.Unlock()
+			h.serves(l)
+		},
+		Twin: func(b json.RawMessage) {
+			if t, ok := h.twin(b); ok {
+				h.router.Meet(decide.Successor, t)
+			}
+		},
+	})
+	h.router.Part(decide.Successor)
+	h.share(-1)
+	h.bound(h.room.clients, h.room.workers)
+	h.mu.Lock()
+	h.successor = nil
+	h.mu.Unlock()
+	h.state.Resume(time.Now())
+	h.router.Yield(h.state.At(time.Now()).Ends())
+	h.log.Info().AnErr("cause", err).Stringer("phase", h.state.At(time.Now())).Msg("successor has ended")
+}
+
+func (h *handover) serves(l *upgrade.Link) {
+	if err := h.state.Relieve(time.Now()); err != nil {
+		h.log.Warn().Err(err).Msg("successor serves")
+		return
+	}
+	h.router.Yield(true)
+	h.mu.Lock()
+	h.successor = l
+	h.mu.Unlock()
+	h.log.Info().Msg("successor serves, and accepts from now on")
+}
+
+// tell sends what is out here until ctx ends, which also ends the link.
+func (h *handover) tell(ctx context.Context, l *upgrade.Link, twin func() routing.Twin) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer l.Close()
+		ticker := time.NewTicker(tellEvery)
+		defer ticker.Stop()
+		for {
+			if err := l.SendTwin(twin()); err != nil {
+				return
+			}
+			select {
+			case <-ticker.C:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+func (h *handover) twin(b json.RawMessage) (t routing.Twin, ok bool) {
+	if err := json.Unmarshal(b, &t); err != nil {
+		h.log.Warn().Err(err).Msg("twin")
+		return t, false
+	}
+	return t, true
+}
+
+// bound keeps this process to a part of the connections that both may have.
+func (h *handover) bound(clients, workers int) {
+	h.server.Bound(max(clients, 1))
+	h.pool.Bound(max(workers, 1))
+}
+
+// share keeps this process to its part of the memory.
+func (h *handover) share(by int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.twins += by
+	debug.SetMemoryLimit(h.room.heap / int64(1+h.twins))
+}
+
+// pass hands an operator's call on to the successor, if one serves.
+func (h *handover) pass(call string) (passed bool, err error) {
+	if h == nil {
+		return false, nil
+	}
+	h.mu.Lock()
+	l := h.successor
+	h.mu.Unlock()
+	if l == nil {
+		return false, nil
+	}
+	return true, l.SendCall(call)
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -61,17 +61,24 @@
 		func(line string) { log.Warn().Msg(line) })
 
 	pool := transport.NewPool(room.workers, p.Idle, log)
-	datagrams, err := peerSocket(p)
+	upgrade := meet(p, log)
+	p.Routing.Legacy = upgrade.legacy()
+	datagrams, err := peerSocket(p, upgrade)
 	if err != nil {
 		return err
 	}
 	state := &drain.State{}
 	router := routing.New(p.Routing, facade, pool, datagrams, state, log)
-	server, err := transport.Listen(p.Listen, room.clients, room.bodies, router, state, log)
+	ln, err := transport.ListenClients(p.Listen, upgrade.socket(clientsSocket), upgrade != nil)
 	if err != nil {
 		return err
 	}
-	desk := &desk{router: router, drain: state, log: log}
+	server := transport.NewServer(ln, room.clients, room.bodies, router, state, log)
+	if upgrade != nil {
+		upgrade.room, upgrade.state, upgrade.router, upgrade.server = room, state, router, server
+		upgrade.pool, upgrade.listener, upgrade.datagrams = pool, ln, datagrams
+	}
+	desk := &desk{router: router, drain: state, handover: upgrade, log: log}
 	door, err := desk.open(p.Mgmt)
 	if err != nil {
 		return err
@@ -93,6 +100,7 @@
 	g.Go(func() error { return server.Follow(working) })
 	if door != nil {
 		g.Go(func() error { return door.Run(working) })
+		g.Go(func() error { return upgrade.run(working) })
 	}
 	g.Go(func() error {
 		return attend(heard, failed, working, p, anew, desk, router, stopAccepting, log)
@@ -102,7 +110,7 @@
 	return err
 }
 
-func peerSocket(p *Placement) (*transport.Datagrams, error) {
+func peerSocket(p *Placement, upgrade *handover) (*transport.Datagrams, error) {
 	if !p.Decisions.Peers {
 		return nil, nil
 	}
@@ -110,7 +118,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	return transport.ListenDatagrams(addr)
+	return transport.ListenDatagrams(addr, upgrade.socket(peersSocket), upgrade != nil)
 }
 
 // attend answers signals: counters on SIGUSR1, the configuration anew on SIGHUP, and the drain on SIGTERM or
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -130,9 +130,31 @@
 	return free.Addr().String()
 }
 
-// running starts a dispatcher with one worker, which answers after a wait, and a list service that is down.
+// running starts a dispatcher where placed puts it.
 func running(t *testing.T, wait time.Duration, anew func() (*Placement, error), change ...func(*Placement)) (
 	url string, log *syncBuffer, ended <-chan error) {
+	p, url := placed(t, wait)
+	for _, c := range change {
+		c(&p)
+	}
+	log, end := &syncBuffer{}, make(chan error, 1)
+	heard := listen()
+	t.Cleanup(heard.stop)
+	go func() { end <- Run(&p, anew, heard, zerolog.New(log)) }()
+	assert.Eventually(t, func() bool {
+		a, err := http.Get(url + "/_health")
+		if err != nil {
+			return false
+		}
+		a.Body.Close()
+		return a.StatusCode == 200
+	}, 5*time.Second, 10*time.Millisecond, "ready with the list that it was started with")
+	return url, log, end
+}
+
+// placed is a dispatcher's place beside one worker, which answers after a wait, and a list service that is
+// down.
+func placed(t *testing.T, wait time.Duration) (at Placement, url string) {
 	worker := http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case <-time.After(wait):
@@ -149,23 +171,7 @@
 		"127.0.0.1:9"))
 	assert.NoError(t, err)
 	p.Decisions.Peers, p.Routing.Known.Entries[0].Address, p.Longest = false, ln.Addr().String(), time.Second
-	for _, c := range change {
-		c(p)
-	}
-	log, end := &syncBuffer{}, make(chan error, 1)
-	heard := listen()
-	t.Cleanup(heard.stop)
-	go func() { end <- Run(p, anew, heard, zerolog.New(log)) }()
-	url = "http://" + p.Listen
-	assert.Eventually(t, func() bool {
-		a, err := http.Get(url + "/_health")
-		if err != nil {
-			return false
-		}
-		a.Body.Close()
-		return a.StatusCode == 200
-	}, 5*time.Second, 10*time.Millisecond, "ready with the list that it was started with")
-	return url, log, end
+	return *p, "http://" + p.Listen
 }
 
 func invoke(t *testing.T, url string) (status int, body string) {
--- a/internal/routing/fleet.go
+++ b/internal/routing/fleet.go
@@ -31,6 +31,7 @@
 	tag     uint16
 	born    decide.Time
 	gone    bool
+	entry   protocol.Entry // as last told
 }
 
 var listed = map[string]decide.State{protocol.Ready: decide.Healthy, protocol.Terminating: decide.Draining,
@@ -65,6 +66,8 @@
 		if w.gone = state == decide.Gone; e.Address != "" {
 			w.address = e.Address
 		}
+		w.entry = e
+		w.entry.Address = w.address
 		if e.BornMs > 0 {
 			w.born = max(w.born, f.clock(e.BornMs))
 		}
@@ -84,6 +87,7 @@
 	for n := range f.workers {
 		if w := &f.workers[n]; l.Whole && !seen[decide.Worker(n)] && !w.gone {
 			w.gone, old = true, append(old, stale{address: w.address})
+			w.entry.State = protocol.Gone
 		}
 	}
 	return entries, old
@@ -101,6 +105,20 @@
 	return f.workers[w].tag
 }
 
+// id is a worker's name.
+func (f *fleet) id(w decide.Worker) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.workers[w].entry.ID
+}
+
+func (f *fleet) byID(id string) (decide.Worker, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, known := f.numbers[id]
+	return w, known
+}
+
 func (f *fleet) byTag(tag uint16) (decide.Worker, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/internal/routing/legacy.go
@@ -0,0 +1,108 @@
+package routing
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"canvasroute/decide"
+	"canvasroute/internal/drain"
+	"canvasroute/internal/protocol"
+)
+
+// Legacy is what a router hands on to the one that goes on in its place: what was learnt, with the names by
+// which it is found again where the successor has other settings.
+type Legacy struct {
+	Version           int64
+	Workers           []protocol.Entry // by their numbers, those that are gone too
+	Zones             []string         // by their numbers
+	Kinds, Operations []string
+	Owners            []string
+	Learnt            []decide.Legacy
+	Twin              Twin
+	Left              bool // it was told to leave, which holds for its successor too
+}
+
+// Legacy is what is known here now. What is told of what is open begins with it.
+func (r *Router) Legacy() Legacy {
+	l := Legacy{Kinds: r.terms.Kinds, Operations: r.operationNames(), Owners: r.terms.Owners,
+		Learnt: r.facade.Legacy()}
+	l.Version, l.Workers, l.Zones = r.fleet.entries()
+	r.ids.watch()
+	l.Twin = r.Twin(decide.Successor)
+	phase := r.drain.At(time.Now())
+	l.Left = phase == drain.Leaving || phase == drain.Away
+	return l
+}
+
+func (r *Router) operationNames() (names []string) {
+	for _, o := range r.terms.Operations {
+		names = append(names, o.Name)
+	}
+	return names
+}
+
+// inherit goes on with what a predecessor knew, if there was one.
+func (r *Router) inherit(text json.RawMessage) error {
+	if text == nil {
+		return nil
+	}
+	var l Legacy
+	if err := json.Unmarshal(text, &l); err != nil {
+		return fmt.Errorf("what the predecessor knew: %w", err)
+	}
+	if len(l.Workers) == 0 {
+		return nil
+	}
+	for _, name := range l.Zones { // those of our settings have their numbers
+		if _, known := r.fleet.zones[name]; !known {
+			r.fleet.zones[name] = len(r.fleet.zones)
+		}
+	}
+	entries, _ := r.fleet.take(&protocol.List{Version: l.Version, Whole: true, Entries: l.Workers})
+	r.facade.ReportList(entries, true, true)
+	for n := range l.Learnt {
+		learnt := &l.Learnt[n]
+		learnt.Operations = align(learnt.Operations, l.Operations, r.operationNames())
+		learnt.Customers = align(learnt.Customers, l.Owners, r.terms.Owners)
+		learnt.Kinds = align(learnt.Kinds, l.Kinds, r.terms.Kinds)
+	}
+	if !r.facade.Inherit(l.Learnt) {
+		r.log.Warn().Int("instances", len(l.Learnt)).Msg("predecessor had other instances: what it learnt is lost")
+	}
+	if r.heir = true; l.Left {
+		r.drain.Leave(time.Now())
+	}
+	r.Meet(decide.Predecessor, l.Twin)
+	r.settled.Store(r.fleet.serves())
+	return nil
+}
+
+// align puts what was known by names into the order of those that are. Where there are no names there is one
+// of its sort.
+func align[T any](known []T, was, is []string) []T {
+	if len(was) == 0 && len(is) == 0 {
+		return known
+	}
+	places, out := numbered(was), make([]T, len(is))
+	for n, name := range is {
+		if at, there := places[name]; there && at < len(known) {
+			out[n] = known[at]
+		}
+	}
+	return out
+}
+
+// entries is the list as it is known, by the workers' numbers.
+func (f *fleet) entries() (version int64, entries []protocol.Entry, zones []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.workers {
+		entries = append(entries, w.entry)
+	}
+	zones = make([]string, len(f.zones))
+	for name, n := range f.zones {
+		zones[n] = name
+	}
+	return f.version, entries, zones
+}
--- a/internal/routing/peers.go
+++ b/internal/routing/peers.go
@@ -48,7 +48,7 @@
 // greet tells that this process has just started, to those that share workers with it: the others are told
 // nothing of it and tell it nothing. It guards against a fleet that restarts at once, each greeting each.
 func (r *Router) greet() {
-	if r.datagrams == nil {
+	if r.datagrams == nil || r.heir {
 		return
 	}
 	b := protocol.AppendNews(nil, uint16(time.Now().UnixMilli()), protocol.Alone, nil)
@@ -59,8 +59,8 @@
 	}
 }
 
-// byProcess gathers news for instances by the process that they are of, each worker once: all instances there hear
-// what comes.
+// byProcess gathers news for instances by the process that they are of, each worker once: all instances there
+// hear what comes.
 func (r *Router) byProcess(news []decide.News) map[int][]protocol.Load {
 	out := map[int][]protocol.Load{}
 	for _, n := range news {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -36,6 +37,7 @@
 	Peers         []netip.AddrPort
 	Position      int
 	Known         *protocol.List
+	Legacy        json.RawMessage // what a predecessor knew, nil where there is none
 	FromUnix      func(ms float64) decide.Time
 }
 
@@ -59,6 +61,9 @@
 
 	settled atomic.Bool // a list is known, or the first call for it has been answered, or has failed
 	drain   *drain.State
+
+	spentTold decide.Time // until when the other process of an upgrade knows what was sent
+	heir      bool        // it goes on for another process, which peers know already
 }
 
 // New makes a router and gives the facade the list that it starts with.
@@ -77,7 +82,11 @@
 	for n, name := range t.Owners {
 		r.owners[name] = decide.Customer(n)
 	}
-	if t.Known != nil {
+	err := r.inherit(t.Legacy)
+	if err != nil {
+		log.Warn().Err(err).Msg("starting from nothing")
+	}
+	if t.Known != nil && !r.heir {
 		entries, _ := r.fleet.take(t.Known)
 		f.ReportList(entries, true, true)
 		r.settled.Store(r.fleet.serves()) // an old list serves until the answer to the first call
@@ -124,7 +133,7 @@
 func (r *Router) Check(h *protocol.Head) *protocol.Answer {
 	switch path := h.Path(); {
 	case path == protocol.PathReady && (h.Method == "GET" || h.Method == "HEAD"):
-		if r.Ready() != nil {
+		if r.list() != nil || !r.drain.At(time.Now()).Healthy() {
 			return &protocol.Answer{Status: 503}
 		}
 		return &protocol.Answer{Status: 200}
@@ -145,11 +154,17 @@
 	return nil
 }
 
-// Ready is nil while clients should come here, and else says why not.
+// Ready is nil while this process takes clients, and else says why not.
 func (r *Router) Ready() error {
-	switch phase := r.drain.At(time.Now()); {
-	case !phase.Takes():
+	if phase := r.drain.At(time.Now()); !phase.Takes() {
 		return fmt.Errorf("%w: %v", errNotTaking, phase)
+	}
+	return r.list()
+}
+
+// list is nil where there are workers to be had.
+func (r *Router) list() error {
+	switch {
 	case !r.settled.Load():
 		return fmt.Errorf("%w: no list of workers yet", errNotTaking)
 	case !r.fleet.serves():
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -195,7 +195,7 @@
 	assert.NoError(t, err)
 	defer peer.Close()
 	r.terms.Peers[1] = peer.LocalAddr().(*net.UDPAddr).AddrPort()
-	r.datagrams, err = transport.ListenDatagrams(netip.MustParseAddrPort("127.0.0.1:0"))
+	r.datagrams, err = transport.ListenDatagrams(netip.MustParseAddrPort("127.0.0.1:0"), nil, false)
 	assert.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	go r.tell(ctx, 0)
--- /dev/null
+++ b/internal/routing/twin.go
@@ -0,0 +1,65 @@
+package routing
+
+import (
+	"canvasroute/decide"
+)
+
+// Twin is what one process of a dispatcher tells the other during an upgrade, again and again. The two are
+// one dispatcher to workers, peers and clients.
+type Twin struct {
+	Loads          map[string]int         `json:",omitempty"` // forwards out, by worker
+	Spent          map[string]decide.Work `json:",omitempty"` // work sent since it last told, by worker
+	Opened, Closed []string               `json:",omitempty"` // ids since it last told
+	Clients        int                    // connections that it has, or may still have
+	Workers        int
+}
+
+// Twin is what a side is to be told now.
+func (r *Router) Twin(to decide.Side) Twin {
+	t := Twin{Loads: map[string]int{}, Spent: map[string]decide.Work{}}
+	for _, l := range r.facade.Out(to) {
+		t.Loads[r.fleet.id(l.Tgt)] = l.InFlight
+	}
+	now := r.facade.Now()
+	for _, s := range r.facade.SpentSince(r.spentTold) {
+		t.Spent[r.fleet.id(s.Tgt)] += s.Work
+	}
+	r.spentTold = now
+	t.Opened, t.Closed = r.ids.news()
+	return t
+}
+
+// Meet takes what a side tells.
+func (r *Router) Meet(from decide.Side, t Twin) {
+	var loads []decide.Load
+	for id, n := range t.Loads {
+		if w, known := r.fleet.byID(id); known {
+			loads = append(loads, decide.Load{Tgt: w, InFlight: n})
+		}
+	}
+	r.facade.ReportTwin(from, loads)
+	var spent []decide.Spent
+	for id, work := range t.Spent {
+		if w, known := r.fleet.byID(id); known {
+			spent = append(spent, decide.Spent{Tgt: w, Work: work})
+		}
+	}
+	if len(spent) > 0 {
+		r.facade.ReportSpent(spent)
+	}
+	r.ids.elsewhere(t.Opened, t.Closed)
+}
+
+// Part forgets what a side has told: it has ended.
+func (r *Router) Part(from decide.Side) {
+	r.facade.ReportTwin(from, nil)
+	r.ids.alone()
+}
+
+// Yield leaves what peers tell, and what they are told, to another process of this dispatcher, or takes it
+// back.
+func (r *Router) Yield(yield bool) {
+	if r.datagrams != nil {
+		r.datagrams.Yield(yield)
+	}
+}
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -130,7 +130,7 @@
 }
 
 func TestTooLongADatagramNeverLeaves(t *testing.T) {
-	d, err := ListenDatagrams(netip.MustParseAddrPort("127.0.0.1:0"))
+	d, err := ListenDatagrams(netip.MustParseAddrPort("127.0.0.1:0"), nil, false)
 	assert.NoError(t, err)
 	to := d.pc.LocalAddr().(*net.UDPAddr).AddrPort()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/transport/datagrams.go
+++ b/internal/transport/datagrams.go
@@ -6,30 +6,62 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync"
+	"syscall"
+	"time"
 
 	"canvasroute/internal/terms"
 )
 
 // Datagrams is the socket between dispatchers.
-type Datagrams struct{ pc *net.UDPConn }
+type Datagrams struct {
+	pc *net.UDPConn
 
-// ListenDatagrams opens the socket.
-func ListenDatagrams(addr netip.AddrPort) (*Datagrams, error) {
-	pc, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
-	if err != nil {
-		return nil, fmt.Errorf("listening for peers: %w", err)
+	mu     sync.Mutex
+	resume chan struct{} // closed when another process no longer has the socket's turn; nil while it is ours
+}
+
+func newDatagrams(pc *net.UDPConn) *Datagrams { return &Datagrams{pc: pc} }
+
+// Socket is what can be handed over.
+func (d *Datagrams) Socket() syscall.Conn { return d.pc }
+
+// Yield leaves the socket to another process that has it too, or takes it back: meanwhile nothing is read
+// here, and nothing sent.
+func (d *Datagrams) Yield(yield bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case yield && d.resume == nil:
+		d.resume = make(chan struct{})
+		d.pc.SetReadDeadline(time.Unix(1, 0))
+	case !yield && d.resume != nil:
+		d.pc.SetReadDeadline(time.Time{})
+		close(d.resume)
+		d.resume = nil
 	}
-	return &Datagrams{pc}, nil
 }
 
-// ErrDatagramTooLong is one that may not leave.
-var ErrDatagramTooLong = errors.New("datagram too long")
+func (d *Datagrams) yielded() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.resume
+}
+
+// The ways that a datagram does not leave.
+var (
+	ErrDatagramTooLong = errors.New("datagram too long")
+	ErrYielded         = errors.New("another process has the socket")
+)
 
 // Send sends one datagram.
 func (d *Datagrams) Send(to netip.AddrPort, b []byte) error {
 	if len(b) > terms.MessageMost {
 		return ErrDatagramTooLong
 	}
+	if d.yielded() != nil {
+		return ErrYielded
+	}
 	if _, err := d.pc.WriteToUDPAddrPort(b, to); err != nil {
 		return fmt.Errorf("sending a datagram: %w", err)
 	}
@@ -42,6 +74,13 @@
 	defer stop()
 	b := make([]byte, terms.MessageMost+1)
 	for ctx.Err() == nil {
+		if resume := d.yielded(); resume != nil {
+			select {
+			case <-resume:
+			case <-ctx.Done():
+			}
+			continue
+		}
 		n, from, err := d.pc.ReadFromUDPAddrPort(b)
 		switch {
 		case errors.Is(err, net.ErrClosed):
--- a/internal/transport/places.go
+++ b/internal/transport/places.go
@@ -79,6 +79,22 @@
 	}
 }
 
+// bound sets how many may be kept from now on. Those beyond it end as others come, or one by one as they turn
+// idle.
+func (s *places) bound(most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.most, s.spare = most, max(most/16, 1)
+	for s.kept > s.most && s.yield[0].Len()+s.yield[2].Len() > 0 && s.evict() {
+	}
+}
+
+func (s *places) heldNow() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.held)
+}
+
 // admit gives a new connection a place, another one's if need be. It tells whether it came beyond the budget.
 func (s *places) admit(c *Conn) (over bool) {
 	s.mu.Lock()
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -23,6 +23,7 @@
 	log      zerolog.Logger
 	idleMost time.Duration
 	places   chan struct{}
+	reserved int // places that nobody here may have, under mu
 
 	mu    sync.Mutex
 	idle  map[string][]*Conn // by address, the latest used last
@@ -166,6 +167,30 @@
 	}
 }
 
+// Bound sets how many connections there may be from now on, up to those it was made with. What is out beyond
+// that is let be: the bound is reached as connections end, so it is to be set again meanwhile.
+func (p *Pool) Bound(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for want := cap(p.places) - most; p.reserved < want; p.reserved++ {
+		select {
+		case p.places <- struct{}{}:
+		default:
+			return
+		}
+	}
+	for want := max(cap(p.places)-most, 0); p.reserved > want; p.reserved-- {
+		<-p.places
+	}
+}
+
+// Held is how many connections there are.
+func (p *Pool) Held() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.places) - p.reserved
+}
+
 // Put gives a connection back that both sides are done with.
 func (p *Pool) Put(c *Conn) {
 	p.mu.Lock()
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -38,7 +38,7 @@
 
 // Server takes clients' connections.
 type Server struct {
-	ln      net.Listener
+	ln      *net.TCPListener
 	handler Handler
 	log     zerolog.Logger
 	places  *places
@@ -49,19 +49,15 @@
 // errClientLeft is the cause of an invocation's context that its client has ended.
 var errClientLeft = errors.New("client left")
 
-// Listen opens the listener. Beyond most connections there may be a sixteenth more for a moment. The bodies
-// that are held at once have so many bytes at the most. The drain's state says which answers are the last
-// ones of their connections, and whether a connection may stand idle.
-func Listen(addr string, most int, bodies int64, handler Handler, state *drain.State,
-	log zerolog.Logger) (*Server, error) {
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, fmt.Errorf("listening for clients: %w", err)
-	}
+// NewServer makes a server of a listener. Beyond most connections there may be a sixteenth more for a moment.
+// The bodies that are held at once have so many bytes at the most. The drain's state says which answers are
+// the last ones of their connections, and whether a connection may stand idle.
+func NewServer(ln *net.TCPListener, most int, bodies int64, handler Handler, state *drain.State,
+	log zerolog.Logger) *Server {
 	s := &Server{ln: ln, handler: handler, log: log, drain: state,
 		places: newPlaces(most, state)}
 	s.bodies.left.Store(max(bodies, protocol.MostBody))
-	return s, nil
+	return s
 }
 
 // Run accepts until ctx ends, and then waits for the connections it has; those that stand idle end at once,
@@ -70,12 +66,15 @@
 	var conns errgroup.Group
 	stop := context.AfterFunc(ctx, func() { s.ln.Close() })
 	defer stop()
-	for {
+	for s.accepting(ctx) {
 		s.places.wait(ctx)
 		nc, err := s.ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			break
 		}
+		if isTimeout(err) { // a successor may accept in our place
+			continue
+		}
 		if err != nil { // descriptors ran out: wait for some to come free
 			s.log.Warn().Err(err).Msg("accepting")
 			time.Sleep(10 * time.Millisecond)
@@ -94,13 +93,42 @@
 	return conns.Wait()
 }
 
-// Follow ends the connections that stand idle whenever the drain's state lets none, until ctx ends.
+// accepting waits until this process is to accept. It returns false when ctx ends.
+func (s *Server) accepting(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		_, changed := s.drain.Next(time.Now())
+		if s.drain.At(time.Now()).Accepts() {
+			s.ln.SetDeadline(time.Time{})
+			if s.drain.At(time.Now()).Accepts() { // else Follow's deadline may have come before
+				return true
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	return false
+}
+
+// Bound sets how many connections there may be from now on.
+func (s *Server) Bound(most int) { s.places.bound(most) }
+
+// Held is how many connections there are.
+func (s *Server) Held() int { return s.places.heldNow() }
+
+// Follow does what a change of the drain's state asks for, until ctx ends: it ends the connections that stand
+// idle where none may, and the wait for new ones where another process has them.
 func (s *Server) Follow(ctx context.Context) error {
 	for {
 		wait, changed := s.drain.Next(time.Now())
-		if !s.drain.At(time.Now()).KeepsIdle() {
+		phase := s.drain.At(time.Now())
+		if !phase.KeepsIdle() {
 			s.places.retire()
 		}
+		if !phase.Accepts() {
+			s.ln.SetDeadline(time.Unix(1, 0))
+		}
 		var passes <-chan time.Time
 		if wait > 0 {
 			passes = time.After(wait)
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -42,8 +42,9 @@
 // serving runs a server until the test ends.
 func serving(t *testing.T, most int) (*Server, *echo, func()) {
 	e := &echo{left: make(chan error, 1)}
-	s, err := Listen("127.0.0.1:0", most, 1<<20, e, &drain.State{}, zerolog.Nop())
+	ln, err := ListenClients("127.0.0.1:0", nil, false)
 	assert.NoError(t, err)
+	s := NewServer(ln, most, 1<<20, e, &drain.State{}, zerolog.Nop())
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- s.Run(ctx) }()
--- /dev/null
+++ b/internal/upgrade/host.go
@@ -0,0 +1,161 @@
+package upgrade
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Socket is one that is handed over.
+type Socket struct {
+	Name string
+	Conn syscall.Conn
+}
+
+// Host is the side of a process that serves: it waits for a successor.
+type Host struct {
+	Place   Place
+	Sockets func() []Socket
+	Legacy  func() (any, error)
+	// Meet is called with each successor that has been handed everything; it returns at the link's end, which
+	// it has to bring about when ctx ends.
+	Meet func(ctx context.Context, l *Link)
+	Ends func() bool // this process ends: whoever has the place keeps it
+	Log  zerolog.Logger
+}
+
+// Run waits for successors until ctx ends, one at a time: one that fails to start leaves the place to the next. Where no
+// socket can be had, a later process starts without this one's help: that is logged, and is no fault.
+func (h *Host) Run(ctx context.Context) error {
+	for ctx.Err() == nil && !h.Ends() {
+		ln, err := h.Place.listen() // anew where a successor that died had taken the place
+		if err != nil {
+			h.Log.Warn().Err(err).Msg("no successor can take over from here")
+			return nil
+		}
+		h.host(ctx, ln)
+	}
+	return nil
+}
+
+// host meets successors one after the other, for as long as they find this listener at the place.
+func (h *Host) host(ctx context.Context, ln *net.UnixListener) {
+	defer context.AfterFunc(ctx, func() { ln.Close() })()
+	defer ln.Close()
+	ours := h.Place.stat()
+	for same := true; same; same = os.SameFile(ours, h.Place.stat()) {
+		c, err := ln.AcceptUnix()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			h.Log.Warn().Err(err).Msg("accepting a successor")
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		if err := h.meet(ctx, c); err != nil {
+			h.Log.Warn().Err(err).Msg("successor turned down")
+		}
+		c.Close()
+	}
+}
+
+func (h *Host) meet(ctx context.Context, c *net.UnixConn) error {
+	if !ours(c) {
+		return fmt.Errorf("%w: another user's", ErrForeign)
+	}
+	l := newLink(c)
+	c.SetReadDeadline(time.Now().Add(meetWithin))
+	m, err := l.receive()
+	if err != nil {
+		return err
+	}
+	if m.Version != version {
+		return fmt.Errorf("%w: version %d", ErrForeign, m.Version)
+	}
+	c.SetReadDeadline(time.Time{})
+	legacy, err := h.Legacy()
+	if err != nil {
+		return err
+	}
+	b, err := json.Marshal(legacy)
+	if err != nil {
+		return fmt.Errorf("hand-over: %w", err)
+	}
+	answer := message{Version: version, Legacy: b}
+	var conns []syscall.Conn
+	for _, s := range h.Sockets() {
+		answer.Sockets, conns = append(answer.Sockets, s.Name), append(conns, s.Conn)
+	}
+	if err := sendSockets(c, conns); err != nil {
+		return err
+	}
+	if err := l.send(answer); err != nil {
+		return err
+	}
+	h.Meet(ctx, l)
+	return nil
+}
+
+// Heir is what a process has from its predecessor.
+type Heir struct {
+	Link    *Link
+	Sockets map[string]*os.File
+	Legacy  json.RawMessage
+}
+
+// Knock looks for a predecessor. It returns nil with no error where there is none.
+func Knock(p Place) (*Heir, error) {
+	c, err := p.dial()
+	if errors.Is(err, os.ErrNotExist) || errors.Is(err, syscall.ECONNREFUSED) { // nobody, or what a killed one left
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("meeting place: %w", err)
+	}
+	heir, err := knock(c)
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	return heir, nil
+}
+
+func knock(c *net.UnixConn) (*Heir, error) {
+	if !ours(c) {
+		return nil, fmt.Errorf("%w: another user's", ErrForeign)
+	}
+	c.SetReadDeadline(time.Now().Add(meetWithin))
+	l := newLink(c)
+	if err := l.send(message{Version: version}); err != nil {
+		return nil, err
+	}
+	files, err := receiveSockets(c)
+	if err != nil {
+		return nil, err
+	}
+	m, err := l.receive()
+	if err == nil && (m.Version != version || len(m.Sockets) != len(files)) {
+		err = fmt.Errorf("%w: version %d, %d descriptors for %d sockets", ErrForeign, m.Version, len(files),
+			len(m.Sockets))
+	}
+	if err != nil {
+		for _, f := range files {
+			f.Close()
+		}
+		return nil, err
+	}
+	c.SetReadDeadline(time.Time{})
+	h := &Heir{Link: l, Legacy: m.Legacy, Sockets: map[string]*os.File{}}
+	for n, name := range m.Sockets {
+		h.Sockets[name] = files[n]
+	}
+	return h, nil
+}
