--- a/internal/upgrade/host.go
+++ b/internal/upgrade/host.go
@@ -114,8 +114,8 @@
 // Knock looks for a predecessor. It returns nil with no error where there is none.
 func Knock(p Place) (*Heir, error) {
 	c, err := p.dial()
-	if errors.Is(err, os.ErrNotExist) || errors.Is(err, syscall.ECONNREFUSED) { // nobody, or what a killed one left
-		return nil, nil
+	if errors.Is(err, os.ErrNotExist) || errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, nil // nobody, or what a killed one left
 	}
 	if err != nil {
 		return nil, fmt.Errorf("meeting place: %w", err)
