New settings at SIGHUP, checked whole and taken whole or not at all

Design: the file is read, checked (deadlines and forwards positive, no name twice, no key missing that the one in force has, no changed name or address) and then taken: routing swaps one settings struct, and the facade's one call Retune gives the module its terms. Ways not taken: changing an operation in place (an invocation under way would become repeatable, or not); a new module beside the old (cold budgets and loads would have to be summed). What waits for the next start is named in the log: at_next_start.

Left: what is under way at the end of an old process.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,6 +48,7 @@
 	}
 	for n, o := range t.Operations {
 		d.ops = append(d.ops, operation{objective: o.Objective, slack: max(o.Stretch-1, 0), window: o.Window,
+			name:  o.Name,
 			value: o.Value, repeat: o.Repeat, scope: o.Scope, kind: o.Kind})
 		if t.ComeBack && o.TardyShare > 0 { // a late answer still earns: better after the crush than soon
 			d.ops[n].comeBack = t.ComeBackMost
@@ -56,6 +57,7 @@
 		d.unit += max(float64(o.Objective), 1) / float64(len(t.Operations))
 	}
 	for _, c := range t.Customers {
+		d.customers = append(d.customers, c.Name)
 		d.quota, d.used, d.usedAt = append(d.quota, c.Quota*d.share), append(d.used, 0), append(d.usedAt, 0)
 	}
 	d.slots, d.most = slices.Repeat([]float64{slotsFirst}, t.Kinds), slices.Repeat([]float64{1}, t.Kinds)
@@ -435,7 +437,7 @@
 
 // mayForward is the rule against double effects, for one more forward to w.
 func (d *Dispatcher) mayForward(i *invocation, w Worker) bool {
-	if i.over || d.now >= i.timeout || len(i.forwards) >= d.forwardsMost || i.out > 0 && !d.copies {
+	if i.over || d.now >= i.timeout || len(i.forwards) >= d.forwardsMost-i.beyond || i.out > 0 && !d.copies {
 		return false
 	}
 	o := &d.ops[i.op]
--- a/decide/legacy.go
+++ b/decide/legacy.go
@@ -1,5 +1,7 @@
 package decide
 
+import "slices"
+
 // Legacy is what a dispatcher has learnt, for a successor that goes on with it. Workers and zones keep their
 // numbers; operations, customers and kinds stand in the order of the successor's terms, with nothing learnt
 // of new ones.
@@ -19,6 +21,7 @@
 
 // LearntOperation is what was learnt of one operation.
 type LearntOperation struct {
+	Name              string
 	Longest           Time
 	Mean, Asked, Lost float64
 	Landed            int
@@ -71,7 +74,7 @@
 	l := Legacy{Sample: append([]Work(nil), d.sample...), Sampled: d.sampled, Worth: d.worth, Luck: d.luck,
 		BlindAt: d.blindAt, Landings: d.landings}
 	for _, o := range d.ops {
-		l.Operations = append(l.Operations, LearntOperation{o.longest, o.mean, o.asked, o.lost, o.landed})
+		l.Operations = append(l.Operations, LearntOperation{o.name, o.longest, o.mean, o.asked, o.lost, o.landed})
 	}
 	for c := range d.used {
 		l.Customers = append(l.Customers, LearntCustomer{d.used[c], d.usedAt[c]})
@@ -104,8 +107,12 @@
 		if len(d.sample) > 0 {
 			d.cut()
 		}
-		for o := range d.ops[:min(len(d.ops), len(l.Operations))] {
-			op, was := &d.ops[o], l.Operations[o]
+		for _, was := range l.Operations { // of one with other terms before, the last
+			o := slices.IndexFunc(d.ops, func(o operation) bool { return o.name == was.Name })
+			if o < 0 {
+				continue
+			}
+			op := &d.ops[o]
 			op.longest, op.mean, op.asked, op.lost, op.landed = was.Longest, was.Mean, was.Asked, was.Lost, was.Landed
 		}
 		for c := range d.used[:min(len(d.used), len(l.Customers))] {
--- /dev/null
+++ b/decide/retune.go
@@ -0,0 +1,88 @@
+package decide
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Retune takes new terms while work is under way, and returns the number of each of their operations. One
+// whose terms are as they were keeps its number; one with other terms has a new number and goes on with what
+// was learnt under its name, so that what landed before keeps the terms that it landed with. Fewer forwards
+// bind at once. What says who and where this dispatcher is among the others, and what workers tell, stays as
+// it was at the start.
+func (d *Dispatcher) Retune(t Terms) (numbers []Operation) {
+	t.Dispatchers, t.Position, t.Peers = d.dispatchers, d.position, d.peers
+	fresh := New(t, d.seed, d.link)
+	for n, o := range t.Operations {
+		numbers = append(numbers, d.generation(o.Name, fresh.ops[n]))
+	}
+	used, at := fresh.used, fresh.usedAt
+	for n, c := range t.Customers {
+		if was := slices.Index(d.customers, c.Name); was >= 0 {
+			used[n], at[n] = d.used[was], d.usedAt[was]
+		}
+	}
+	d.quota, d.used, d.usedAt, d.customers = fresh.quota, used, at, fresh.customers
+	d.coldFrom, d.multiple, d.ramp, d.span, d.unit = fresh.coldFrom, fresh.multiple, fresh.ramp, fresh.span, fresh.unit
+	d.surplusShare, d.crossing, d.perInv, d.worstWeight = fresh.surplusShare, fresh.crossing, fresh.perInv, fresh.worstWeight
+	d.margin, d.askWithin, d.spread, d.patience = fresh.margin, fresh.askWithin, fresh.spread, fresh.patience
+	d.cancels, d.copies = fresh.cancels, fresh.copies
+	d.probes, d.keepers = fresh.probes, fresh.keepers
+	d.part()
+	d.room, d.sweepAt = true, d.now
+	was := d.forwardsMost
+	d.forwardsMost = fresh.forwardsMost
+	for inv := range d.open.latest() {
+		i := &d.invs[inv]
+		i.beyond = d.forwardsMost - min(was-i.beyond, d.forwardsMost)
+		// No forward may be left to it.
+		able := func(w Worker) bool { return d.state[w] == Healthy && d.mayForward(i, w) }
+		if len(i.forwards) > 0 && i.out == 0 && !slices.ContainsFunc(d.ring, able) {
+			d.giveUp(inv)
+		}
+	}
+	d.link.Log(fmt.Sprintf("terms taken anew: %d operations, forwards %d", len(t.Operations), t.ForwardsMost))
+	return numbers
+}
+
+// generation finds the number of an operation of that name with the same terms, or gives it one. Numbers are
+// not used again: an invocation may be open under an old one, and the same calls give every instance the same
+// numbers.
+func (d *Dispatcher) generation(name string, o operation) Operation {
+	latest := -1
+	for n := range d.ops {
+		if d.ops[n].name != name {
+			continue
+		}
+		if d.ops[n].sameTerms(&o) {
+			return Operation(n)
+		}
+		latest = n
+	}
+	if latest >= 0 {
+		was := &d.ops[latest]
+		o.longest, o.mean, o.density, o.asked, o.lost, o.landed = was.longest, was.mean, was.density, was.asked,
+			was.lost, was.landed
+	}
+	d.ops = append(d.ops, o)
+	return Operation(len(d.ops) - 1)
+}
+
+func (o *operation) sameTerms(b *operation) bool {
+	return o.objective == b.objective && o.window == b.window && o.comeBack == b.comeBack && o.value == b.value &&
+		o.slack == b.slack && o.repeat == b.repeat && o.scope == b.scope && o.kind == b.kind
+}
+
+// Retune takes new terms.
+func (f *Facade) Retune(t Terms) (numbers []Operation) {
+	f.with(func(d *Dispatcher) { numbers = d.Retune(t) })
+	return numbers
+}
+
+// Retune takes new terms at all instances. The terms count processes, as those of the start did.
+func (s *Instances) Retune(t Terms) (numbers []Operation) {
+	for _, f := range s.each {
+		numbers = f.Retune(t)
+	}
+	return numbers
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -11,6 +11,7 @@
 	value, mean, density, asked, lost, slack float64 // mean: of the sizes landed
 	landed                                   int
 	repeat                                   Repeat
+	name                                     string
 	scope                                    Scope
 	kind                                     Kind
 }
@@ -29,7 +30,7 @@
 	size            Work
 	lane            int
 	forwards        []forward
-	out             int
+	out, beyond     int  // beyond: forwards allowed since it landed, and not to it
 	held            bool // it waits for a worker
 	place           int  // in what is open
 }
@@ -80,11 +81,12 @@
 	quota                       []float64 // by Customer: landings a second here that count in full
 
 	// What is open, and which of it waits for a worker.
-	invs   []invocation
-	open   landed
-	held   []Inv
-	used   []float64 // by Customer: landings, the older the less
-	usedAt []Time
+	invs      []invocation
+	open      landed
+	held      []Inv
+	customers []string  // their names
+	used      []float64 // by Customer: landings, the older the less
+	usedAt    []Time
 
 	// Figures about workers, by Worker.
 	hash                        []uint64
--- a/decide/types.go
+++ b/decide/types.go
@@ -69,6 +69,7 @@
 
 // OperationTerms are the terms of one operation.
 type OperationTerms struct {
+	Name              string // by which it is known in other terms
 	Objective, Window Time
 	Value, TardyShare float64
 	Stretch           float64 // the objective grows by this many times the work
@@ -78,7 +79,10 @@
 }
 
 // CustomerTerms are the terms of one customer: its invocations a second that count in full, perhaps infinite.
-type CustomerTerms struct{ Quota float64 }
+type CustomerTerms struct {
+	Quota float64
+	Name  string // by which it is known in other terms
+}
 
 // Terms are what a dispatcher is told at its start. New derives its figures from them and keeps none.
 type Terms struct {
--- a/internal/program/placement.go
+++ b/internal/program/placement.go
@@ -43,6 +43,7 @@
 	Longest                  time.Duration // the longest client timeout
 	Decisions                decide.Terms
 	Routing                  routing.Terms
+	keys                     map[string]bool // those of the file, by their paths
 }
 
 // Read takes the configuration from the file that LB_CONFIG names. What the environment says by itself, name
@@ -105,6 +106,8 @@
 	r.peers(p)
 	r.known(p)
 	r.routing(p)
+	r.positives()
+	p.keys = keysOf(v)
 	return p, r.err
 }
 
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -1,57 +1,94 @@
 package program
 
 import (
+	"fmt"
 	"reflect"
+	"slices"
 
 	"github.com/rs/zerolog"
 
 	"canvasroute/internal/routing"
 )
 
-// reload takes over what a new configuration may change while we serve: where the list service is. Workers,
-// what is known of them and what is open stay as they are. A bad file changes nothing.
+// reload takes over what a new configuration may change while we serve: where the list service is, and
+// settings. It is checked whole, and taken whole or not at all. Workers, what is known of them and what is
+// open stay as they are.
 func reload(p *Placement, anew func() (*Placement, error), desk *desk, router *routing.Router,
 	log zerolog.Logger) *Placement {
 	next, err := anew()
+	if err == nil {
+		err = p.refuse(next)
+	}
 	if err != nil {
 		desk.rejected.Add(1)
 		log.Error().Err(err).Msg("bad configuration, the old one is kept")
 		return p
 	}
-	log.Info().Str("discovery", next.Routing.Discovery).Strs("at_next_start", later(p, next)).
-		Msg("configuration read anew")
-	desk.applied.Add(1)
+	taken := p.with(next)
+	router.Retune(taken.Routing, taken.Decisions)
 	router.Move(next.Routing.Discovery)
+	desk.applied.Add(1)
+	names := []string{}
+	for _, o := range taken.Routing.Operations {
+		names = append(names, o.Name)
+	}
+	log.Info().Str("discovery", next.Routing.Discovery).Strs("operations", names).
+		Int("forwards", taken.Decisions.ForwardsMost).Strs("at_next_start", later(taken, next)).
+		Msg("configuration read anew")
+	return taken
+}
+
+// refuse tells what stands in the way of going on with another configuration: it lacks something, or is that
+// of another dispatcher.
+func (p *Placement) refuse(next *Placement) error {
+	if key := missing(p.keys, next.keys); key != "" {
+		return fmt.Errorf("%s: missing; the configuration in force has it", key)
+	}
+	for _, k := range []struct{ key, was, is string }{
+		{"name", p.Name, next.Name}, {"listen", p.Listen, next.Listen}, {"peer_listen", p.PeerListen, next.PeerListen},
+	} {
+		if k.was != k.is {
+			return fmt.Errorf("%s: %q, must stay %q while the process runs", k.key, k.is, k.was)
+		}
+	}
+	return nil
+}
+
+// with is a placement with what another one may change of it.
+func (p *Placement) with(next *Placement) *Placement {
 	taken := *p
-	taken.Routing.Discovery = next.Routing.Discovery
+	taken.keys, taken.Longest = next.keys, next.Longest
+	was := p.Decisions
+	taken.Decisions = next.Decisions
+	d := &taken.Decisions
+	d.Dispatchers, d.Position, d.Zone, d.Kinds, d.Peers = was.Dispatchers, was.Position, was.Zone, was.Kinds, was.Peers
+	d.StartNotes, d.ReportsOnProbe, d.Probes = was.StartNotes, was.ReportsOnProbe, was.Probes
+	d.ReportInFlight, d.ReportQueue, d.ReportFree = was.ReportInFlight, was.ReportQueue, was.ReportFree
+	r, n := &taken.Routing, next.Routing
+	r.Discovery, r.Operations, r.Owners = n.Discovery, n.Operations, n.Owners
+	r.DialWithin, r.ComeBackMost = n.DialWithin, n.ComeBackMost
 	return &taken
 }
 
-// later names what is not as it was and is only taken over by the next start.
-func later(was, is *Placement) []string {
+// later names what is not as in the file and is only taken over by the next start.
+func later(taken, file *Placement) []string {
 	keys := []string{}
 	for _, k := range []struct {
 		key     string
 		was, is any
 	}{
-		{"name", was.Name, is.Name},
-		{"listen", was.Listen, is.Listen},
-		{"mgmt", was.Mgmt, is.Mgmt},
-		{"peer_listen", was.PeerListen, is.PeerListen},
-		{"peers", was.Routing.Peers, is.Routing.Peers},
-		{"limits", [3]any{was.Cores, was.MemoryMB, was.Sockets}, [3]any{is.Cores, is.MemoryMB, is.Sockets}},
-		{"settings", was.settings(), is.settings()},
+		{"mgmt", taken.Mgmt, file.Mgmt},
+		{"peers", taken.Routing.Peers, file.Routing.Peers},
+		{"limits", [3]any{taken.Cores, taken.MemoryMB, taken.Sockets}, [3]any{file.Cores, file.MemoryMB, file.Sockets}},
+		{"settings.policyLimits.connIdleS", taken.Idle, file.Idle},
+		{"settings.zones", taken.Routing.Zones, file.Routing.Zones},
+		{"settings.shapes", taken.Routing.Kinds, file.Routing.Kinds},
+		{"settings.report", taken.Routing.Report, file.Routing.Report},
+		{"settings: balancers, position, zone, peers, probes, start notes or reports", taken.Decisions, file.Decisions},
 	} {
 		if !reflect.DeepEqual(k.was, k.is) {
 			keys = append(keys, k.key)
 		}
 	}
-	return keys
-}
-
-// settings are all that is read from under that key.
-func (p *Placement) settings() []any {
-	r := p.Routing
-	return []any{p.Idle, p.Longest, p.Decisions, r.Operations, r.Owners, r.Zones, r.Kinds, r.Report,
-		r.DialWithin, r.ComeBackMost}
+	return slices.Clip(keys)
 }
--- a/internal/routing/forward.go
+++ b/internal/routing/forward.go
@@ -61,7 +61,7 @@
 	}
 	stop, used := context.AfterFunc(f.ctx, conn.Interrupt), conn.Used()
 	message := protocol.AppendForward(nil, f.inv, time.Until(f.until))
-	if err := conn.Send(f.r.terms.DialWithin, message); err != nil { // before its last byte: it never ran
+	if err := conn.Send(f.r.now.Load().dialWithin, message); err != nil { // before its last byte: it never ran
 		stop()
 		return f.unsent(conn, err)
 	}
@@ -70,7 +70,8 @@
 	interrupted := !stop()
 	return how, result, func() {
 		if err == nil {
-			// The answer's last chunk may still be on its way: without it the connection cannot be used again.
+			// The answer's last chunk may still be on its way: without it the connection cannot be used
+			// again.
 			conn.Within(endWithin)
 			err = conn.Pieces(&body, func([]byte) bool { return true })
 		}
@@ -87,7 +88,7 @@
 
 // connect gets a connection within the time in which one comes up or never does.
 func (f *passage) connect(tgt decide.Worker) (*transport.Conn, error) {
-	ctx, cancel := context.WithTimeout(f.ctx, f.r.terms.DialWithin)
+	ctx, cancel := context.WithTimeout(f.ctx, f.r.now.Load().dialWithin)
 	defer cancel()
 	return f.r.pool.Get(ctx, f.r.fleet.address(tgt), f.once)
 }
--- a/internal/routing/legacy.go
+++ b/internal/routing/legacy.go
@@ -13,20 +13,18 @@
 // Legacy is what a router hands on to the one that goes on in its place: what was learnt, with the names by
 // which it is found again where the successor has other settings.
 type Legacy struct {
-	Version           int64
-	Workers           []protocol.Entry // by their numbers, those that are gone too
-	Zones             []string         // by their numbers
-	Kinds, Operations []string
-	Owners            []string
-	Learnt            []decide.Legacy
-	Twin              Twin
-	Left              bool // it was told to leave, which holds for its successor too
+	Version       int64
+	Workers       []protocol.Entry // by their numbers, those that are gone too
+	Zones         []string         // by their numbers
+	Kinds, Owners []string
+	Learnt        []decide.Legacy
+	Twin          Twin
+	Left          bool // it was told to leave, which holds for its successor too
 }
 
 // Legacy is what is known here now. What is told of what is open begins with it.
 func (r *Router) Legacy() Legacy {
-	l := Legacy{Kinds: r.terms.Kinds, Operations: r.operationNames(), Owners: r.terms.Owners,
-		Learnt: r.facade.Legacy()}
+	l := Legacy{Kinds: r.terms.Kinds, Owners: r.now.Load().owners, Learnt: r.facade.Legacy()}
 	l.Version, l.Workers, l.Zones = r.fleet.entries()
 	r.ids.watch()
 	l.Twin = r.Twin(decide.Successor)
@@ -35,13 +33,6 @@
 	return l
 }
 
-func (r *Router) operationNames() (names []string) {
-	for _, o := range r.terms.Operations {
-		names = append(names, o.Name)
-	}
-	return names
-}
-
 // inherit goes on with what a predecessor knew, if there was one.
 func (r *Router) inherit(text json.RawMessage) error {
 	if text == nil {
@@ -63,7 +54,6 @@
 	r.facade.ReportList(entries, true, true)
 	for n := range l.Learnt {
 		learnt := &l.Learnt[n]
-		learnt.Operations = align(learnt.Operations, l.Operations, r.operationNames())
 		learnt.Customers = align(learnt.Customers, l.Owners, r.terms.Owners)
 		learnt.Kinds = align(learnt.Kinds, l.Kinds, r.terms.Kinds)
 	}
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -80,7 +80,7 @@
 	r.place.leave = leave
 	address := r.place.address
 	r.place.mu.Unlock()
-	dialing, cancel := context.WithTimeout(ctx, min(r.terms.DialWithin*4, callWithin))
+	dialing, cancel := context.WithTimeout(ctx, min(r.now.Load().dialWithin*4, callWithin))
 	defer cancel()
 	conn, err := transport.Dial(dialing, address, transport.Lister, r.log)
 	if err != nil {
@@ -176,7 +176,7 @@
 }
 
 func (r *Router) probe(ctx context.Context, w decide.Worker) {
-	ctx, cancel := context.WithTimeout(ctx, r.terms.DialWithin)
+	ctx, cancel := context.WithTimeout(ctx, r.now.Load().dialWithin)
 	defer cancel()
 	conn, err := r.pool.Get(ctx, r.fleet.address(w), false)
 	if err != nil {
@@ -200,7 +200,7 @@
 }
 
 func (r *Router) loadReport(conn *transport.Conn) (values []float64, closes bool, err error) {
-	if err := conn.Send(r.terms.DialWithin, protocol.AppendGet(nil, protocol.PathLoad)); err != nil {
+	if err := conn.Send(r.now.Load().dialWithin, protocol.AppendGet(nil, protocol.PathLoad)); err != nil {
 		return nil, false, err
 	}
 	head, err := conn.Answer()
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -43,21 +43,20 @@
 
 // Router answers invocations by way of workers.
 type Router struct {
-	terms      Terms
-	facade     *decide.Instances
-	pool       *transport.Pool
-	datagrams  *transport.Datagrams // nil where dispatchers may not talk
-	log        zerolog.Logger
-	fleet      fleet
-	operations map[string]decide.Operation
-	owners     map[string]decide.Customer
-	forwards   errgroup.Group
-	heard      []stamp
-	counts     Counts
-	tally      tally
-	place      place
-	ids        ids
-	door       *door.Door
+	terms     Terms
+	facade    *decide.Instances
+	pool      *transport.Pool
+	datagrams *transport.Datagrams // nil where dispatchers may not talk
+	log       zerolog.Logger
+	fleet     fleet
+	now       atomic.Pointer[settings]
+	forwards  errgroup.Group
+	heard     []stamp
+	counts    Counts
+	tally     tally
+	place     place
+	ids       ids
+	door      *door.Door
 
 	settled atomic.Bool // a list is known, or the first call for it has been answered, or has failed
 	drain   *drain.State
@@ -72,16 +71,13 @@
 	r := &Router{terms: t, facade: f, pool: p, datagrams: d, drain: state, log: log,
 		heard: make([]stamp, len(t.Peers)*f.Count()),
 		place: place{address: t.Discovery}, door: door.New(float64(f.Count())),
-		operations: map[string]decide.Operation{}, owners: map[string]decide.Customer{},
 		fleet: fleet{zones: numbered(t.Zones), kinds: numbered(t.Kinds), clock: t.FromUnix, log: log,
 			numbers: map[string]decide.Worker{}, tagged: map[uint16]decide.Worker{}}}
-	for n, o := range t.Operations {
-		r.operations[o.Name] = decide.Operation(n)
-		r.tally.name(o.Name)
-	}
-	for n, name := range t.Owners {
-		r.owners[name] = decide.Customer(n)
+	numbers := make([]decide.Operation, len(t.Operations))
+	for n := range numbers {
+		numbers[n] = decide.Operation(n)
 	}
+	r.adjust(t, numbers)
 	err := r.inherit(t.Legacy)
 	if err != nil {
 		log.Warn().Err(err).Msg("starting from nothing")
@@ -177,7 +173,7 @@
 
 // sentAway throttles what was not taken, by its head alone where there is one.
 func (r *Router) sentAway(h *protocol.Head) *protocol.Answer {
-	a := &protocol.Answer{Status: 503, ComeBack: r.terms.ComeBackMost}
+	a := &protocol.Answer{Status: 503, ComeBack: r.now.Load().comeBackMost}
 	if h != nil {
 		if ends := r.tally.of(h.Operation()); ends != nil {
 			ends.end(a)
@@ -204,21 +200,22 @@
 
 // landing reads what the decisions need to know of an invocation.
 func (r *Router) landing(inv *protocol.Invocation) (decide.Landing, error) {
-	o, known := r.operations[inv.Operation]
+	now := r.now.Load()
+	o, known := now.operations[inv.Operation]
 	if !known {
 		return decide.Landing{}, fmt.Errorf("%w: unknown operation %.40q", protocol.ErrMalformed, inv.Operation)
 	}
-	if r.terms.Operations[o].Keyed && inv.Dedup == "" {
+	if o.Keyed && inv.Dedup == "" {
 		return decide.Landing{}, fmt.Errorf("%w: no Idempotency-Key", protocol.ErrMalformed)
 	}
-	c, known := r.owners[inv.Owner]
-	if !known && len(r.owners) > 0 {
+	c, known := now.customers[inv.Owner]
+	if !known && len(now.customers) > 0 {
 		return decide.Landing{}, fmt.Errorf("%w: unknown owner %.40q", protocol.ErrMalformed, inv.Owner)
 	}
 	if inv.Timeout == 0 {
-		inv.Timeout = r.terms.Operations[o].Timeout
+		inv.Timeout = o.Timeout
 	}
-	return decide.Landing{Operation: o, Customer: c, Grace: spanOf(inv.Timeout),
+	return decide.Landing{Operation: o.number, Customer: c, Grace: spanOf(inv.Timeout),
 		Hint: decide.Work(spanOf(inv.Hint)), Slots: inv.Slots}, nil
 }
 
@@ -253,7 +250,7 @@
 	r.counts.Taken.Add(1)
 	if phase := r.drain.At(time.Now()); !phase.Admits() || phase.Ends() && r.facade.Late(l) {
 		r.counts.Throttled.Add(1)
-		return &protocol.Answer{Status: 503, ComeBack: r.terms.ComeBackMost}
+		return &protocol.Answer{Status: 503, ComeBack: r.now.Load().comeBackMost}
 	}
 	until := came.Add(inv.Timeout)
 	t, result := r.facade.Land(l), make(chan string, 1)
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -80,6 +80,7 @@
 				o.GetStringBytes("repeat"), o.GetStringBytes("dedupScope"))
 		}
 		op := decide.OperationTerms{
+			Name:      string(o.GetStringBytes("name")),
 			Objective: Span(o.GetFloat64("latencyObjectiveS")), Window: Span(o.GetFloat64("dedupWindowS")),
 			Value: o.GetFloat64("billedValue"), TardyShare: o.GetFloat64("tardyBilledValue"),
 			Repeat: repeat, Scope: scope, Kind: -1,
@@ -100,7 +101,7 @@
 		if quota <= 0 {
 			quota = math.Inf(1)
 		}
-		t.Customers = append(t.Customers, decide.CustomerTerms{Quota: quota})
+		t.Customers = append(t.Customers, decide.CustomerTerms{Quota: quota, Name: string(c.GetStringBytes("name"))})
 	}
 	if len(t.Customers) == 0 { // all invocations come from one that has no share
 		t.Customers = []decide.CustomerTerms{{Quota: math.Inf(1)}}
