Hand what is under way to the second process: client, workers and what came so far

Ruled out: clients turned back (0 ended at the door), the list (watched from the first moment), slots unlearnt (handed over by name).

Design: at SIGTERM, with a successor serving, each forward's goroutine is stopped at its read, the invocation is taken out of the decisions (facade Hand) and client and worker sockets go over the Unix socket with what has come on them; the successor adopts it with the terms it landed with (facade Adopt) and reads the worker's answer from the start of what came. Way not taken: the old process staying as a relay; SIGKILL comes 0.7 s after the longest deadline, 3 s at most, and work takes 16 s.

--- a/decide/facade.go
+++ b/decide/facade.go
@@ -15,6 +15,7 @@
 	AnswerFound                 // give the client the result of forward N
 	AnswerThrottled
 	AnswerErrored
+	HandOver // another process goes on with it: no answer from here
 )
 
 // Choice is the answer to a pick.
@@ -93,20 +94,25 @@
 func (f *Facade) Land(l Landing) *Ticket {
 	t := &Ticket{f: f, ready: make(chan struct{}, 1), until: time.Now().Add(l.Grace.Duration())}
 	f.with(func(d *Dispatcher) {
-		if n := len(f.free); n > 0 {
-			t.inv, f.free = f.free[n-1], f.free[:n-1]
-			f.tickets[t.inv] = t
-		} else {
-			t.inv = Inv(len(f.tickets))
-			f.tickets = append(f.tickets, t)
-		}
-		f.open++
+		f.number(t)
 		l.Grace = min(l.Grace, f.endBy-d.now)
 		d.Landed(t.inv, l)
 	})
 	return t
 }
 
+// number gives a ticket a number that no other open one has.
+func (f *Facade) number(t *Ticket) {
+	if n := len(f.free); n > 0 {
+		t.inv, f.free = f.free[n-1], f.free[:n-1]
+		f.tickets[t.inv] = t
+	} else {
+		t.inv = Inv(len(f.tickets))
+		f.tickets = append(f.tickets, t)
+	}
+	f.open++
+}
+
 // Pick blocks until the next choice for the invocation. When ctx ends first the client has left.
 func (t *Ticket) Pick(ctx context.Context) (Choice, error) {
 	for {
@@ -409,13 +415,19 @@
 			until = w
 		}
 	}
+	ctx := t.begin(until)
+	once := l.f.d.ops[l.f.d.invs[inv].op].repeat == NonIdempotent
+	t.push(Choice{Do: Send, Tgt: tgt, N: len(t.cancels) - 1, Ctx: ctx, Once: once})
+}
+
+// begin counts one more forward out, which ends by itself at a time, and returns its context.
+func (t *Ticket) begin(until time.Time) context.Context {
 	timed, stop := context.WithDeadline(context.Background(), until)
 	ctx, cancel := context.WithCancelCause(timed)
 	t.cancels = append(t.cancels, func(cause error) { cancel(cause); stop() })
 	t.reported = append(t.reported, false)
 	t.out++
-	once := l.f.d.ops[l.f.d.invs[inv].op].repeat == NonIdempotent
-	t.push(Choice{Do: Send, Tgt: tgt, N: len(t.cancels) - 1, Ctx: ctx, Once: once})
+	return ctx
 }
 
 func (l link) Cancel(inv Inv, n int) {
--- /dev/null
+++ b/decide/hand.go
@@ -0,0 +1,116 @@
+package decide
+
+import (
+	"context"
+	"slices"
+	"time"
+)
+
+// Adopted is an invocation that one process of this dispatcher hands to another, with the terms that it landed with.
+type Adopted struct {
+	Name             string
+	Objective        Time
+	Window, ComeBack Time
+	Value, Slack     float64
+	Repeat           Repeat
+	Scope            Scope
+	Kind             Kind
+
+	Until        time.Time // the client's
+	Latest       Time
+	Size         Work
+	Counts       float64
+	Beyond, Most int // of the forwards that are allowed, those not to it
+	Forwards     []AdoptedForward
+}
+
+// AdoptedForward is one forward of it, by its number.
+type AdoptedForward struct {
+	Tgt           Worker
+	Sent, Started Time
+	Out, Ran      bool
+}
+
+// Hand takes an invocation out of the decisions, for another process to go on with. It holds only while it is open, with
+// so many forwards out; Pick then returns HandOver.
+func (t *Ticket) Hand(out int) (a Adopted, ok bool) {
+	t.f.with(func(d *Dispatcher) {
+		sends := slices.ContainsFunc(t.choices, func(c Choice) bool { return c.Do == Send })
+		if t.over || t.out != out || sends {
+			return
+		}
+		i := &d.invs[t.inv]
+		o := &d.ops[i.op]
+		ok = true
+		a = Adopted{o.name, o.objective, o.window, o.comeBack, o.value, o.slack, o.repeat, o.scope, o.kind, t.until,
+			i.latest, i.size, i.counts, i.beyond, d.forwardsMost, nil}
+		for _, f := range i.forwards {
+			a.Forwards = append(a.Forwards, AdoptedForward{f.tgt, f.sent, f.started, f.out, f.ran})
+		}
+		t.over = true
+		d.end(t.inv, -1)
+		for n, f := range a.Forwards {
+			if f.Out {
+				t.ended(n, Moot)
+			}
+		}
+		t.push(Choice{Do: HandOver})
+	})
+	return a, ok
+}
+
+// Adopt goes on with an invocation that another process has handed over. The contexts are those of its forwards that are
+// out; each is to be reported by its number.
+func (f *Facade) Adopt(a Adopted) (*Ticket, []context.Context) {
+	t := &Ticket{f: f, ready: make(chan struct{}, 1), until: a.Until}
+	contexts := make([]context.Context, len(a.Forwards))
+	f.with(func(d *Dispatcher) {
+		f.number(t)
+		d.adopt(t.inv, a)
+		for n, forward := range a.Forwards {
+			contexts[n] = t.begin(a.Until)
+			if !forward.Out {
+				t.reported[n] = true
+				t.out--
+				t.cancels[n](nil)
+			}
+		}
+	})
+	return t, contexts
+}
+
+func (d *Dispatcher) adopt(inv Inv, a Adopted) {
+	d.invs = append(d.invs, make([]invocation, max(0, int(inv)+1-len(d.invs)))...)
+	op := d.generation(a.Name, operation{name: a.Name, objective: a.Objective, window: a.Window, comeBack: a.ComeBack,
+		value: a.Value, slack: a.Slack, repeat: a.Repeat, scope: a.Scope, kind: a.Kind})
+	grace := Time(time.Until(a.Until) / (time.Second / Second))
+	i := &d.invs[inv]
+	*i = invocation{op: op, timeout: d.now + grace - d.margin, latest: a.Latest, size: a.Size, counts: a.Counts,
+		forwards: i.forwards[:0], lane: both}
+	i.beyond = d.forwardsMost - min(a.Most-a.Beyond, d.forwardsMost)
+	if len(d.cuts) > 0 {
+		i.lane, _ = slices.BinarySearch(d.cuts, i.size+1)
+	}
+	d.addOpen(inv)
+	for _, f := range a.Forwards {
+		i.forwards = append(i.forwards, forward{f.Tgt, f.Sent, f.Started, f.Out, f.Ran})
+		if !f.Out {
+			continue
+		}
+		i.out++
+		d.shift(f.Tgt, 1)
+		if d.startNotes && f.Started == 0 {
+			d.waiting[f.Tgt]++
+		}
+		d.note(f.Tgt)
+	}
+	if i.out == 0 {
+		d.hold(inv)
+	}
+	d.room, d.sweepAt = true, min(d.sweepAt, d.now+d.patience, i.timeout)
+}
+
+// Adopt goes on with an invocation that another process has handed over, each instance in turn.
+func (s *Instances) Adopt(a Adopted) (*Ticket, []context.Context) {
+	return s.each[int(s.turn.Add(1))%len(s.each)].Adopt(a)
+}
--- a/internal/program/handover.go
+++ b/internal/program/handover.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"net"
 	"os"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -13,6 +16,7 @@
 
 	"canvasroute/decide"
 	"canvasroute/internal/drain"
+	"canvasroute/internal/protocol"
 	"canvasroute/internal/routing"
 	"canvasroute/internal/transport"
 	"canvasroute/internal/upgrade"
@@ -42,6 +46,7 @@
 	datagrams *transport.Datagrams
 	log       zerolog.Logger
 
+	handing   sync.Mutex // one goes through what is open at a time
 	mu        sync.Mutex
 	successor *upgrade.Link // one that serves
 	twins     int           // processes that the limits are shared with
@@ -115,6 +120,7 @@
 				h.bound(h.room.clients-t.Clients, h.room.workers-t.Workers)
 			}
 		},
+		Open: h.adopt,
 		Call: func(call string) {
 			h.log.Info().Str("call", call).Msg("operator, by way of the predecessor")
 			now := time.Now()
@@ -142,6 +148,9 @@
 	stop := h.tell(ctx, l, func() routing.Twin {
 		mu.Lock()
 		defer mu.Unlock()
+		if h.state.At(time.Now()).Ends() {
+			h.handAll()
+		}
 		if serves {
 			clients, workers = min(clients, h.server.Held()), min(workers, h.pool.Held()+1)
 		}
@@ -235,14 +244,69 @@
 	debug.SetMemoryLimit(h.room.heap / int64(1+h.twins))
 }
 
-// pass hands an operator's call on to the successor, if one serves.
-func (h *handover) pass(call string) (passed bool, err error) {
+// handAll hands what is under way to the successor that serves, as far as it can be just now.
+func (h *handover) handAll() {
+	l := h.serving()
+	if l == nil {
+		return
+	}
+	h.handing.Lock()
+	defer h.handing.Unlock()
+	h.router.HandAll(func(open *routing.Handed, client syscall.Conn, forwards map[int]syscall.Conn) error {
+		sockets := []upgrade.Socket{{Name: clientsSocket, Conn: client}}
+		for n, c := range forwards {
+			sockets = append(sockets, upgrade.Socket{Name: strconv.Itoa(n), Conn: c})
+		}
+		return l.SendOpen(open, sockets)
+	})
+}
+
+// adopt goes on with an invocation that the predecessor has handed over.
+func (h *handover) adopt(b json.RawMessage, files map[string]*os.File) {
+	var client net.Conn
+	forwards := map[int]net.Conn{}
+	for name, f := range files {
+		c, err := net.FileConn(f)
+		f.Close()
+		if err != nil {
+			h.log.Warn().Err(err).Str("socket", name).Msg("handed over")
+			continue
+		}
+		if n, err := strconv.Atoi(name); err == nil {
+			forwards[n] = c
+		} else {
+			client = c
+		}
+	}
+	open, finish, err := h.router.Adopt(b, forwards)
+	if err == nil && client == nil {
+		err = errors.New("an invocation handed over: without its client")
+	}
+	if err != nil {
+		h.log.Warn().Err(err).Msg("handed over")
+		for _, c := range forwards {
+			c.Close()
+		}
+		if client == nil || open == nil {
+			return
+		}
+		finish = func(context.Context) *protocol.Answer { return &protocol.Answer{Status: 502} } // it may have run
+	}
+	h.server.Adopt(client, open.Early, open.Closes, finish)
+}
+
+func (h *handover) serving() *upgrade.Link {
 	if h == nil {
-		return false, nil
+		return nil
 	}
 	h.mu.Lock()
-	l := h.successor
-	h.mu.Unlock()
+	defer h.mu.Unlock()
+	return h.successor
+}
+
+// pass hands an operator's call on to the successor, if one serves.
+func (h *handover) pass(call string) (passed bool, err error) {
+	l := h.serving()
 	if l == nil {
 		return false, nil
 	}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -62,7 +62,7 @@
 
 	pool := transport.NewPool(room.workers, p.Idle, log)
 	upgrade := meet(p, log)
-	p.Routing.Legacy = upgrade.legacy()
+	p.Routing.Legacy, p.Routing.Hands = upgrade.legacy(), upgrade != nil
 	datagrams, err := peerSocket(p, upgrade)
 	if err != nil {
 		return err
@@ -140,6 +140,7 @@
 			log.Info().Str("signal", s.String()).Msg("draining")
 			router.Drain(min(p.Longest, longestDrain) + drainMore)
 			desk.drain.End(time.Now())
+			desk.handover.handAll() // before what is left is bound to end with this process
 			select {
 			case <-time.After(acceptFor):
 			case <-failed.Done():
--- a/internal/protocol/invocation.go
+++ b/internal/protocol/invocation.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
@@ -23,6 +24,39 @@
 	passed []field // goes on to workers unchanged
 }
 
+// carried is an invocation as one process of a dispatcher hands it to another.
+type carried struct {
+	Method, Target, ID, Operation, Owner, Dedup string
+	Timeout, Hint                               time.Duration
+	Slots                                       float64
+	Body                                        []byte
+	Passed                                      [][2]string
+}
+
+// MarshalJSON writes all of an invocation.
+func (inv *Invocation) MarshalJSON() ([]byte, error) {
+	c := carried{inv.Method, inv.Target, inv.ID, inv.Operation, inv.Owner, inv.Dedup, inv.Timeout, inv.Hint, inv.Slots,
+		inv.Body, nil}
+	for _, f := range inv.passed {
+		c.Passed = append(c.Passed, [2]string{f.name, f.value})
+	}
+	return json.Marshal(c)
+}
+
+// UnmarshalJSON reads what MarshalJSON wrote.
+func (inv *Invocation) UnmarshalJSON(b []byte) error {
+	var c carried
+	if err := json.Unmarshal(b, &c); err != nil {
+		return err
+	}
+	*inv = Invocation{Method: c.Method, Target: c.Target, ID: c.ID, Operation: c.Operation, Owner: c.Owner,
+		Dedup: c.Dedup, Timeout: c.Timeout, Hint: c.Hint, Slots: c.Slots, Body: c.Body}
+	for _, f := range c.Passed {
+		inv.passed = append(inv.passed, field{f[0], f[1]})
+	}
+	return nil
+}
+
 // Operation is the name of the operation that a head asks for, "" where it names none.
 func (h *Head) Operation() string { return h.Field(fieldKind) }
 
@@ -107,6 +141,9 @@
 	Body     []byte
 }
 
+// HandedOver stands for the answer to an invocation that another process of this dispatcher goes on with.
+var HandedOver = &Answer{}
+
 // TurnsAway tells whether the answer is to what was not taken, and is the client's own fault.
 func (a *Answer) TurnsAway() bool { return a.Status >= 400 && a.Status < 429 }
 
--- a/internal/routing/counts.go
+++ b/internal/routing/counts.go
@@ -12,7 +12,7 @@
 // Counts are what has been taken in, sent and answered since the start.
 type Counts struct {
 	Taken, Succeeded, Throttled, Errored, Left, Malformed, Overfull, AtDoor atomic.Int64
-	Sent                                                                    atomic.Int64
+	Handed, Sent                                                            atomic.Int64
 	Probes, Lists, WatchesLost                                              atomic.Int64
 	DatagramsSent, DatagramsFailed, DatagramsHeard                          atomic.Int64
 	DatagramsBroken, Strangers, Overtaken                                   atomic.Int64
@@ -45,7 +45,7 @@
 		Int64("succeeded", c.Succeeded.Load()).Int64("throttled", c.Throttled.Load()).
 		Int64("errored", c.Errored.Load()).Int64("client_left", c.Left.Load()).
 		Int64("turned_away", c.Malformed.Load()).Int64("overfull", c.Overfull.Load()).
-		Int64("at_door", c.AtDoor.Load()).
+		Int64("at_door", c.AtDoor.Load()).Int64("handed_over", c.Handed.Load()).
 		Dict("forwards", forwards).Int64("probes", c.Probes.Load()).Int64("lists", c.Lists.Load()).
 		Int64("watches_lost", c.WatchesLost.Load()).Dict("datagrams", datagrams).
 		Uint64("mallocs", memory.Mallocs).Uint64("alloc_bytes", memory.TotalAlloc).Msg("counters")
--- a/internal/routing/forward.go
+++ b/internal/routing/forward.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"canvasroute/decide"
@@ -16,12 +17,29 @@
 const endWithin = 250 * time.Millisecond
 
 // forward sends the invocation to one worker and reports what comes of it, once.
-func (r *Router) forward(t *decide.Ticket, c decide.Choice, inv *protocol.Invocation, until time.Time,
-	result chan<- string) {
-	f := &passage{r: r, ctx: c.Ctx, inv: inv, until: until, once: c.Once, started: func() { t.ReportStart(c.N) }}
-	how, text, finish := f.run(c.Tgt)
+func (r *Router) forward(c *carrying, choice decide.Choice, result chan<- string) {
+	f := r.passage(c, choice)
+	r.finish(c, choice, f, result, func() (decide.Outcome, string, func()) { return f.run(choice.Tgt) })
+}
+
+func (r *Router) passage(c *carrying, choice decide.Choice) *passage {
+	return &passage{r: r, ctx: choice.Ctx, inv: c.inv, until: c.until, once: choice.Once,
+		started: func() { c.ticket.ReportStart(choice.N) },
+		parked:  make(chan struct{}, 1), verdict: make(chan bool, 1), gone: make(chan struct{})}
+}
+
+// finish runs a forward and reports what comes of it.
+func (r *Router) finish(c *carrying, choice decide.Choice, f *passage, result chan<- string,
+	run func() (decide.Outcome, string, func())) {
+	c.add(choice.N, f)
+	how, text, finish := run()
+	c.drop(choice.N)
+	if f.handed { // another process reports
+		finish()
+		return
+	}
 	r.counts.outcome(how)
-	if t.Report(c.N, how) {
+	if c.ticket.Report(choice.N, how) {
 		result <- text
 	}
 	if finish != nil {
@@ -36,7 +54,16 @@
 	inv     *protocol.Invocation
 	until   time.Time
 	once    bool
+	used    bool // its connection had been used before
 	started func()
+	handed  bool // another process goes on with it
+
+	mu      sync.Mutex
+	conn    *transport.Conn // while it waits for its worker
+	asked   bool            // it is to stop reading
+	parked  chan struct{}   // it has
+	verdict chan bool       // whether another process reads on
+	gone    chan struct{}   // closed when it waits no more
 }
 
 // run returns the outcome, the result of a succeeded forward, and what is left to do for the connection after
@@ -59,15 +86,33 @@
 		f.r.pool.Put(conn)
 		return decide.Moot, "", nil
 	}
-	stop, used := context.AfterFunc(f.ctx, conn.Interrupt), conn.Used()
+	stop := context.AfterFunc(f.ctx, conn.Interrupt)
+	f.used = conn.Used()
 	message := protocol.AppendForward(nil, f.inv, time.Until(f.until))
 	if err := conn.Send(f.r.now.Load().dialWithin, message); err != nil { // before its last byte: it never ran
 		stop()
 		return f.unsent(conn, err)
 	}
 	f.r.counts.Sent.Add(1)
-	how, result, body, err := f.read(conn, used)
+	return f.await(conn, stop)
+}
+
+// resume goes on with a forward that another process had sent.
+func (f *passage) resume(conn *transport.Conn) (how decide.Outcome, result string, finish func()) {
+	return f.await(conn, context.AfterFunc(f.ctx, conn.Interrupt))
+}
+
+// await waits for the worker's answer. stop ends the watch for the forward's own end.
+func (f *passage) await(conn *transport.Conn, stop func() bool) (decide.Outcome, string, func()) {
+	if f.r.terms.Hands {
+		conn.Tape()
+	}
+	how, result, body, handed, err := f.hear(conn)
 	interrupted := !stop()
+	conn.Untape()
+	if f.handed = handed; handed {
+		return 0, "", func() { conn.End(transport.HandedOver, nil) }
+	}
 	return how, result, func() {
 		if err == nil {
 			// The answer's last chunk may still be on its way: without it the connection cannot be used
--- /dev/null
+++ b/internal/routing/hand.go
@@ -0,0 +1,290 @@
+package routing
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"canvasroute/decide"
+	"canvasroute/internal/protocol"
+	"canvasroute/internal/transport"
+)
+
+// parkWithin bounds the wait for a forward's goroutine to stop reading.
+const parkWithin = 100 * time.Millisecond
+
+// Handed is an invocation that is under way, as one process of this dispatcher hands it to another. Its sockets come with
+// it: the client's, and one for each forward that is out.
+type Handed struct {
+	Invocation *protocol.Invocation
+	Decided    decide.Adopted
+	Hosts      []string // the workers of its forwards
+	Early      []byte   // what the client has sent beyond it
+	Came       [][]byte // on each forward's connection since it was sent
+	Used       []bool   // those connections were used before
+	Closes     bool     // the client's connection ends with the answer
+}
+
+// Carrier takes what is handed over, with the client's socket and those of the forwards that are out, by their numbers.
+type Carrier func(h *Handed, client syscall.Conn, forwards map[int]syscall.Conn) error
+
+// carrying is an invocation on its way, and what is to be known to hand it over.
+type carrying struct {
+	inv    *protocol.Invocation
+	ticket *decide.Ticket
+	until  time.Time
+	closes bool
+
+	mu       sync.Mutex
+	passages map[int]*passage // that are out
+	handed   *Handed          // set before Pick tells so
+	parked   map[int]*passage
+	carrier  Carrier
+}
+
+func (c *carrying) add(n int, p *passage) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.passages == nil {
+		c.passages = map[int]*passage{}
+	}
+	c.passages[n] = p
+}
+
+func (c *carrying) drop(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.passages, n)
+}
+
+func (c *carrying) isHanded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.handed != nil
+}
+
+func (c *carrying) out() map[int]*passage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := map[int]*passage{}
+	for n, p := range c.passages {
+		all[n] = p
+	}
+	return all
+}
+
+// HandAll hands over what is open, as far as it can be just now: each of its forwards waits for its worker. What cannot
+// goes on here. It is to be called again until all is over.
+func (r *Router) HandAll(to Carrier) {
+	r.underWay.Range(func(key, _ any) bool {
+		r.hand(key.(*carrying), to)
+		return true
+	})
+}
+
+// hand stops the reading of each forward, and takes the invocation out of the decisions. From then on its goroutine does
+// the rest. Where either cannot be done now, reading goes on from the start of what has come: nothing is lost by it.
+func (r *Router) hand(c *carrying, to Carrier) {
+	if c.isHanded() {
+		return
+	}
+	parked := map[int]*passage{}
+	resume := func() {
+		for _, p := range parked {
+			p.verdict <- false
+		}
+	}
+	for n, p := range c.out() {
+		if !p.park() {
+			resume()
+			return
+		}
+		parked[n] = p
+	}
+	h := &Handed{Invocation: c.inv, Closes: c.closes}
+	c.mu.Lock()
+	decided, ok := c.ticket.Hand(len(parked))
+	if ok {
+		h.Decided = decided
+		c.handed, c.parked, c.carrier = h, parked, to
+		for _, f := range decided.Forwards {
+			h.Hosts = append(h.Hosts, r.fleet.id(f.Tgt))
+		}
+	}
+	c.mu.Unlock()
+	if !ok {
+		resume()
+	}
+}
+
+// handOver sends what hand has prepared. Without a successor that takes it the invocation has an unknown outcome.
+func (r *Router) handOver(ctx context.Context, c *carrying) *protocol.Answer {
+	c.mu.Lock()
+	h, parked, to := c.handed, c.parked, c.carrier
+	c.mu.Unlock()
+	sockets, err := r.gather(h, parked)
+	client, early, ok := transport.Detach(ctx)
+	if h.Early = early; !ok && err == nil {
+		err = errNoSocket
+	}
+	if err == nil && ctx.Err() == nil {
+		err = to(h, client, sockets)
+	}
+	for _, p := range parked {
+		p.verdict <- true
+	}
+	switch {
+	case ctx.Err() != nil:
+		return nil
+	case err != nil:
+		r.log.Warn().Err(err).Str("id", c.inv.ID).Msg("not handed over")
+		r.counts.Errored.Add(1)
+		return &protocol.Answer{Status: 502}
+	}
+	r.counts.Handed.Add(1)
+	return protocol.HandedOver
+}
+
+var errNoSocket = errors.New("a connection that has no socket")
+
+func (r *Router) gather(h *Handed, parked map[int]*passage) (map[int]syscall.Conn, error) {
+	sockets := map[int]syscall.Conn{}
+	h.Came, h.Used = make([][]byte, len(h.Decided.Forwards)), make([]bool, len(h.Decided.Forwards))
+	for n, p := range parked {
+		came, err := p.conn.Taped()
+		if err != nil {
+			return nil, err
+		}
+		h.Came[n], h.Used[n], sockets[n] = came, p.used, p.conn.Socket()
+		if sockets[n] == nil {
+			return nil, errNoSocket
+		}
+	}
+	return sockets, nil
+}
+
+// abandon lets go of what hand has prepared, as the client has left: the forwards that were parked are called off.
+func (r *Router) abandon(c *carrying) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.handed != nil {
+		for _, p := range c.parked {
+			p.verdict <- true
+		}
+		c.parked = nil
+	}
+}
+
+// park makes a forward that waits for its worker stop reading. It returns false for one that is elsewhere on its way.
+func (p *passage) park() bool {
+	p.mu.Lock()
+	if p.conn == nil {
+		p.mu.Unlock()
+		return false
+	}
+	p.asked = true
+	p.conn.Stop()
+	p.mu.Unlock()
+	select {
+	case <-p.parked:
+		return true
+	case <-p.gone:
+		return false
+	case <-time.After(parkWithin):
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked = false
+	select {
+	case <-p.parked: // just now
+		return true
+	default:
+		return false
+	}
+}
+
+// hear reads the worker's answer, and lets itself be parked meanwhile. handed tells that another process reads on.
+func (f *passage) hear(conn *transport.Conn) (how decide.Outcome, result string, body protocol.Body, handed bool,
+	err error) {
+	f.mu.Lock()
+	f.conn = conn
+	f.mu.Unlock()
+	defer close(f.gone)
+	for {
+		how, result, body, err = f.read(conn, f.used)
+		stopped := err != nil && transport.Blame(err) == transport.TooSlow && f.ctx.Err() == nil
+		f.mu.Lock()
+		if !stopped {
+			f.conn = nil
+			f.mu.Unlock()
+			return how, result, body, false, err
+		}
+		if f.asked {
+			f.asked = false
+			f.mu.Unlock()
+			f.parked <- struct{}{}
+			if <-f.verdict {
+				return 0, "", body, true, nil
+			}
+		} else {
+			f.mu.Unlock()
+		}
+		if again := conn.Rewind(); again != nil {
+			return f.lost(again), "", body, false, again
+		}
+		if f.ctx.Err() != nil { // its end came meanwhile, and Rewind has undone it
+			conn.Interrupt()
+		}
+	}
+}
+
+// Adopt goes on with what a predecessor has handed over; finish is to be run for the client, on whose connection its
+// answer is to go.
+func (r *Router) Adopt(text json.RawMessage, forwards map[int]net.Conn) (h *Handed,
+	finish func(context.Context) *protocol.Answer, err error) {
+	h = &Handed{}
+	if err := json.Unmarshal(text, h); err != nil {
+		return nil, nil, fmt.Errorf("an invocation handed over: %w", err)
+	}
+	for n := range h.Decided.Forwards {
+		w, known := r.fleet.byID(h.Hosts[n])
+		if !known {
+			return h, nil, fmt.Errorf("an invocation handed over: worker %q is not known here", h.Hosts[n])
+		}
+		h.Decided.Forwards[n].Tgt = w
+	}
+	return h, func(ctx context.Context) *protocol.Answer { return r.goOn(ctx, h, forwards) }, nil
+}
+
+func (r *Router) goOn(ctx context.Context, h *Handed, forwards map[int]net.Conn) *protocol.Answer {
+	inv := h.Invocation
+	r.ids.take(inv.ID)
+	defer r.ids.close(inv.ID)
+	r.tally.name(inv.Operation)
+	ends := r.tally.of(inv.Operation)
+	ends.out.Add(1)
+	defer ends.out.Add(-1)
+	r.counts.Taken.Add(1)
+	ticket, contexts := r.facade.Adopt(h.Decided)
+	c := &carrying{inv: inv, ticket: ticket, until: h.Decided.Until, closes: h.Closes}
+	result := make(chan string, 1)
+	for n, nc := range forwards {
+		tgt := h.Decided.Forwards[n].Tgt
+		conn := r.pool.Adopt(nc, r.fleet.address(tgt), h.Came[n])
+		choice := decide.Choice{Do: decide.Send, Tgt: tgt, N: n, Ctx: contexts[n]}
+		p := r.passage(c, choice)
+		p.used = h.Used[n]
+		r.forwards.Go(func() error {
+			r.finish(c, choice, p, result, func() (decide.Outcome, string, func()) { return p.resume(conn) })
+			return nil
+		})
+	}
+	a := r.pursue(ctx, c, result)
+	ends.end(a)
+	return a
+}
--- a/internal/routing/ids.go
+++ b/internal/routing/ids.go
@@ -31,6 +31,14 @@
 	return true
 }
 
+// take takes an id that the other process has handed over with its invocation.
+func (i *ids) take(id string) {
+	i.mu.Lock()
+	delete(i.others, id)
+	i.mu.Unlock()
+	i.open(id)
+}
+
 func (i *ids) close(id string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,7 @@
 	Position      int
 	Known         *protocol.List
 	Legacy        json.RawMessage // what a predecessor knew, nil where there is none
+	Hands         bool            // what is under way may be handed to a successor
 	FromUnix      func(ms float64) decide.Time
 }
 
@@ -62,6 +64,7 @@
 	drain   *drain.State
 
 	spentTold decide.Time // until when the other process of an upgrade knows what was sent
+	underWay  sync.Map    // of *carrying, where it may
 	heir      bool        // it goes on for another process, which peers know already
 }
 
@@ -239,31 +242,40 @@
 	ends := r.tally.of(inv.Operation)
 	ends.out.Add(1)
 	defer ends.out.Add(-1)
-	a := r.carry(ctx, inv, l, came)
+	a := r.carry(ctx, inv, l, came, h.Closes())
 	ends.end(a)
 	return a
 }
 
 // carry brings an invocation that was taken to its answer, nil where its client has left.
 func (r *Router) carry(ctx context.Context, inv *protocol.Invocation, l decide.Landing,
-	came time.Time) *protocol.Answer {
+	came time.Time, closes bool) *protocol.Answer {
 	r.counts.Taken.Add(1)
-	if phase := r.drain.At(time.Now()); !phase.Admits() || phase.Ends() && r.facade.Late(l) {
+	if phase := r.drain.At(time.Now()); !phase.Admits() || phase.Ends() && phase != drain.Yielding && r.facade.Late(l) {
 		r.counts.Throttled.Add(1)
 		return &protocol.Answer{Status: 503, ComeBack: r.now.Load().comeBackMost}
 	}
-	until := came.Add(inv.Timeout)
-	t, result := r.facade.Land(l), make(chan string, 1)
+	c := &carrying{inv: inv, ticket: r.facade.Land(l), until: came.Add(inv.Timeout), closes: closes}
+	return r.pursue(ctx, c, make(chan string, 1))
+}
+
+// pursue picks until there is an answer, and sends forwards meanwhile.
+func (r *Router) pursue(ctx context.Context, c *carrying, result chan string) *protocol.Answer {
+	if r.terms.Hands {
+		r.underWay.Store(c, nil)
+		defer r.underWay.Delete(c)
+	}
 	for {
-		c, err := t.Pick(ctx)
+		choice, err := c.ticket.Pick(ctx)
 		if err != nil {
+			r.abandon(c)
 			r.counts.Left.Add(1)
 			return nil
 		}
-		switch c.Do {
+		switch choice.Do {
 		case decide.Send:
 			r.forwards.Go(func() error {
-				r.forward(t, c, inv, until, result)
+				r.forward(c, choice, result)
 				return nil
 			})
 		case decide.AnswerFound:
@@ -271,7 +283,9 @@
 			return &protocol.Answer{Status: 200, Body: []byte(<-result)}
 		case decide.AnswerThrottled:
 			r.counts.Throttled.Add(1)
-			return &protocol.Answer{Status: 429, ComeBack: c.ComeBack.Duration()}
+			return &protocol.Answer{Status: 429, ComeBack: choice.ComeBack.Duration()}
+		case decide.HandOver:
+			return r.handOver(ctx, c)
 		default:
 			r.counts.Errored.Add(1)
 			return &protocol.Answer{Status: 502}
--- a/internal/routing/tally.go
+++ b/internal/routing/tally.go
@@ -22,6 +22,7 @@
 // end counts an answer, the one place where an invocation ends; nil is a client that has left.
 func (e *ends) end(a *protocol.Answer) {
 	switch {
+	case a == protocol.HandedOver: // it ends at another process
 	case a == nil:
 		e.aborted.Add(1)
 	case a.Status == 200:
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -33,6 +33,7 @@
 	Silent       Reason = "silent"        // no line came on a watch for too long
 	Unwanted     Reason = "unwanted"      // the list service answered, but not with a list
 	Ending       Reason = "ending"        // this process ends
+	HandedOver   Reason = "handed_over"   // another process of this dispatcher goes on with it
 )
 
 // What a connection holds. The ring for reading holds any head that is taken; that for writing is emptied
@@ -66,17 +67,29 @@
 	ended    sync.Once
 	dead     atomic.Bool // the process at the other end is known to have ended
 	onEnd    func()
+
+	stopAttend func() // ends the watch for the client's end
 }
 
 // meter counts the bytes of a connection.
 type meter struct {
 	nc            net.Conn
 	read, written atomic.Int64
+	ahead         []byte // has come before what comes now
+	tape          *tape  // nil where nothing is kept
 }
 
-func (m *meter) Read(p []byte) (int, error) {
-	n, err := m.nc.Read(p)
+func (m *meter) Read(p []byte) (n int, err error) {
+	if len(m.ahead) > 0 {
+		n = copy(p, m.ahead)
+		m.ahead = m.ahead[n:]
+	} else {
+		n, err = m.nc.Read(p)
+	}
 	m.read.Add(int64(n))
+	if m.tape != nil {
+		m.tape.add(p[:n])
+	}
 	return n, err
 }
 
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -61,18 +61,7 @@
 		<-p.places
 		return nil, fmt.Errorf("connecting: %w", err)
 	}
-	var c *Conn
-	c = newConn(nc, Worker, addr, p.log, func() {
-		<-p.places
-		p.mu.Lock()
-		delete(p.out, c)
-		delete(p.stale, c)
-		p.mu.Unlock()
-	})
-	p.mu.Lock()
-	p.out[c] = addr
-	p.mu.Unlock()
-	return c, nil
+	return p.keep(nc, addr, true), nil
 }
 
 // place waits for a place in the budget; the connection that is idle longest makes room.
--- a/internal/upgrade/message.go
+++ b/internal/upgrade/message.go
@@ -28,6 +28,7 @@
 	Legacy  json.RawMessage `json:"legacy,omitempty"`  // what the predecessor knows
 	Serving bool            `json:"serving,omitempty"` // the successor accepts from now on
 	Twin    json.RawMessage `json:"twin,omitempty"`    // what a side has out, again and again
+	Open    json.RawMessage `json:"open,omitempty"`    // an invocation that is under way
 	Call    string          `json:"call,omitempty"`    // an operator's, passed on to the successor
 }
 
