Take what a cut list watch had told whole, and ask again without backoff where it had answered

At fault: lines() in list.go dropped all of a line without end, and ListFailed's backoff grew after watches that had been answered, as only a whole line resets it.

Change: the workers that stand whole in a cut line are taken as changes, version and list as before; a watch that had been answered begins the wait anew. A call that was refused or never answered waits longer and longer as before.

--- a/decide/facade_test.go
+++ b/decide/facade_test.go
@@ -190,14 +190,21 @@
 	terms.AskForList = true
 	f, now := facadeOf(terms, 1)
 	asked := func() bool { return len(f.ask) > 0 }
-	f.ReportListLost()
+	f.ReportListLost(false)
 	*now += 5 * Second
 	f.with(func(*Dispatcher) {})
 	assert.True(t, asked(), "and nobody takes it up before the next word")
-	f.ReportListLost()
+	f.ReportListLost(false)
 	assert.False(t, asked())
 	f.ReportListMoved()
 	assert.True(t, asked())
+	for range 5 { // it answers, and is cut: no backoff
+		<-f.ask
+		f.ReportListLost(true)
+		*now += 1300 * Second / 1000
+		f.with(func(*Dispatcher) {})
+		assert.True(t, asked())
+	}
 }
 
 // Guards against a peer that starts again with no view of our load, and against our view of what it had out.
--- a/decide/instances.go
+++ b/decide/instances.go
@@ -119,9 +119,9 @@
 }
 
 // ReportListLost tells that the list could not be had, or is no longer followed.
-func (s *Instances) ReportListLost() {
+func (s *Instances) ReportListLost(answered bool) {
 	for _, f := range s.each {
-		f.ReportListLost()
+		f.ReportListLost(answered)
 	}
 }
 
--- a/internal/protocol/list.go
+++ b/internal/protocol/list.go
@@ -27,7 +27,7 @@
 	Gone        = "Gone"
 )
 
-// ParseList reads a list or one line of a watch.
+// ParseList reads a list or one line of a watch. With an error the entries are those that were whole before it.
 func ParseList(b []byte) (l List, err error) {
 	s := scanner{b: b}
 	version := false
@@ -38,7 +38,11 @@
 		case "whole":
 			l.Whole = s.truth()
 		case "hosts":
-			s.array(func() { l.Entries = append(l.Entries, s.entry()) })
+			s.array(func() {
+				if e := s.entry(); s.err == nil {
+					l.Entries = append(l.Entries, e)
+				}
+			})
 		default:
 			s.skip()
 		}
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -53,7 +53,7 @@
 			return nil
 		}
 		watching, leave := context.WithCancelCause(ctx)
-		err := r.watch(watching, leave)
+		answered, err := r.watch(watching, leave)
 		r.place.mu.Lock()
 		r.place.leave = nil
 		moved := errors.Is(context.Cause(watching), errMoved)
@@ -70,12 +70,12 @@
 		r.counts.WatchesLost.Add(1)
 		r.log.Warn().Err(err).Msg("list watch lost")
 		r.settled.Store(true)
-		r.facade.ReportListLost()
+		r.facade.ReportListLost(answered)
 	}
 }
 
-// watch makes one call and takes its lines until it ends, with an error always.
-func (r *Router) watch(ctx context.Context, leave context.CancelCauseFunc) error {
+// watch makes one call and takes its lines until it ends, with an error always. answered tells whether a watch had begun.
+func (r *Router) watch(ctx context.Context, leave context.CancelCauseFunc) (answered bool, err error) {
 	r.place.mu.Lock()
 	r.place.leave = leave
 	address := r.place.address
@@ -84,34 +84,41 @@
 	defer cancel()
 	conn, err := transport.Dial(dialing, address, transport.Lister, r.log)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer context.AfterFunc(ctx, conn.Interrupt)()
-	why, err := r.lines(ctx, conn)
+	body, why, err := r.begin(conn)
+	if answered = err == nil; answered {
+		why, err = r.lines(ctx, conn, body)
+	}
 	conn.End(why, err)
-	return err
+	return answered, err
 }
 
-func (r *Router) lines(ctx context.Context, conn *transport.Conn) (transport.Reason, error) {
+// begin asks for a watch; its lines are in the body.
+func (r *Router) begin(conn *transport.Conn) (body protocol.Body, why transport.Reason, err error) {
 	ask := protocol.AppendGet(nil, protocol.WatchTarget(r.fleet.listVersion()))
 	if err := conn.Send(callWithin, ask); err != nil {
-		return transport.Blame(err), err
+		return body, transport.Blame(err), err
 	}
 	conn.Within(callWithin)
 	head, err := conn.Answer()
 	if err != nil {
-		return transport.Blame(err), err
+		return body, transport.Blame(err), err
 	}
-	body, err := protocol.AnswerBody(&head)
-	if err != nil {
-		return transport.Malformed, err
+	if body, err = protocol.AnswerBody(&head); err != nil {
+		return body, transport.Malformed, err
 	}
 	if head.Status != 200 {
-		return transport.Unwanted, fmt.Errorf("list: status %d", head.Status)
+		return body, transport.Unwanted, fmt.Errorf("list: status %d", head.Status)
 	}
+	return body, "", nil
+}
+
+func (r *Router) lines(ctx context.Context, conn *transport.Conn, body protocol.Body) (transport.Reason, error) {
 	var pending []byte
 	var broken error
-	err = conn.Pieces(&body, func(data []byte) bool {
+	err := conn.Pieces(&body, func(data []byte) bool {
 		conn.Within(silentAfter)
 		pending = append(pending, data...)
 		for broken == nil {
@@ -129,6 +136,9 @@
 		}
 		return broken == nil
 	})
+	if line := bytes.TrimSpace(pending); err != nil && broken == nil && len(line) > 0 {
+		r.takeCut(line)
+	}
 	switch {
 	case errors.Is(context.Cause(ctx), errMoved):
 		return transport.StaleRetired, nil
@@ -144,11 +154,28 @@
 	return transport.Blame(err), err
 }
 
+// takeCut takes the workers that a line tells of before the connection ended within it. It guards against a service whose
+// watches are cut again and again: what it has to tell counts as told, and a drain would be seen too late. The version
+// stays, so that the next watch tells all of it again, and nothing is taken for gone.
+func (r *Router) takeCut(line []byte) {
+	l, _ := protocol.ParseList(line)
+	r.log.Warn().Int("bytes", len(line)).Int("workers", len(l.Entries)).Msg("list watch cut within a line")
+	if len(l.Entries) > 0 {
+		l.Version, l.Whole = r.fleet.listVersion(), false
+		r.told(l)
+	}
+}
+
 func (r *Router) takeList(line []byte) error {
 	l, err := protocol.ParseList(line)
 	if err != nil {
 		return err
 	}
+	r.told(l)
+	return nil
+}
+
+func (r *Router) told(l protocol.List) {
 	r.counts.Lists.Add(1)
 	entries, old := r.fleet.take(&l)
 	r.facade.ReportList(entries, l.Whole, false)
@@ -158,7 +185,6 @@
 		}
 	}
 	r.settled.Store(true)
-	return nil
 }
 
 // probes asks workers for their load reports where the decisions want them.
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -221,7 +221,7 @@
 		asked <- q.URL.String()
 		says(text, ends)(c, q)
 	})
-	err := r.watch(context.Background(), nil)
+	_, err := r.watch(context.Background(), nil)
 	assert.Equal(t, "/catalog/members?stream=1&index=7", <-asked)
 	return r, err.Error()
 }
@@ -247,6 +247,16 @@
 	}
 }
 
+// Guards against a drain that is seen too late since the watch that told of it was cut.
+func TestWatchThatIsCutLeavesWhatItToldWhole(t *testing.T) {
+	r, err := watched(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n400\r\n"+
+		`{"seq":9,"whole":true,"hosts":[{"host":"w","health":"Terminating"},{"host":"v","dial":"127.0.0.1:2","hea`, true)
+	assert.Contains(t, err, "within a message")
+	assert.Equal(t, int64(7), r.fleet.listVersion(), "the next watch tells all of it again")
+	assert.Equal(t, protocol.Terminating, r.fleet.workers[0].entry.State)
+	assert.Len(t, r.fleet.workers, 1, "nothing is taken of what is not whole")
+}
+
 func TestSilentWatchIsGivenUp(t *testing.T) {
 	began := time.Now()
 	_, err := watched(t, chunked(`{"seq":9,"whole":false,"hosts":[]}`), false)
