The lab plays upgrades, drains by hand, new settings, and silent or piecemeal clients

Change: troubles upgrade, leave, new-settings, silent-clients and piecemeal-clients; both processes of an upgrade are one dispatcher to the ledger; at the end the figures of each dispatcher with one process are held against the ledger's counts. The front leaves a dispatcher that says no at once, as the platform does, and one that is dead after its notice as before.

--- a/internal/lab/command/lab_test.go
+++ b/internal/lab/command/lab_test.go
@@ -240,3 +240,30 @@
 		assert.Contains(t, out.String(), c.want)
 	}
 }
+
+// Two processes of each dispatcher, and operators' work meanwhile, are judged as one dispatcher; its own figures agree
+// with what clients saw, which the lab checks where there was one process.
+func TestOperatorsWorkUnderLoadBreaksNoRule(t *testing.T) {
+	r := playFile(t, fmt.Sprintf(short, "canvasroute", "")+`[[trouble]]
+kind = "upgrade"
+at = "500ms"
+gap = "700ms"
+[[trouble]]
+kind = "new-settings"
+at = "1800ms"
+forwards = 1
+[[trouble]]
+kind = "leave"
+at = "2s"
+for = "600ms"
+dispatchers = 1
+[[trouble]]
+kind = "piecemeal-clients"
+at = "100ms"
+for = "2s"
+connections = 40
+`)
+	assert.Empty(t, r.Breaches)
+	assert.Equal(t, 2, r.Dispatchers[0].Lives)
+	assert.Greater(t, float64(r.Calls.Total.Answers["succeeded"]), 0.95*float64(r.Planned))
+}
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -105,10 +105,10 @@
 for = "1s"
 `)
 	path := filepath.Join(t.TempDir(), "c.json")
-	config, err := p.placement(1, 0, 1, "127.0.0.1:8080", "127.0.0.1:8500", nil, []byte(`{"seq":1,"hosts":[]}`))
+	config, err := p.placement(1, 0, 1, "127.0.0.1:8080", "127.0.0.1:9", "127.0.0.1:8500", nil, []byte(`{"seq":1,"hosts":[]}`))
 	assert.NoError(t, err)
 	p.Dispatchers.Peers = false
-	bare, err := p.placement(1, 0, 1, "127.0.0.1:8080", "127.0.0.1:8500", nil, []byte(`{"seq":1,"hosts":[]}`))
+	bare, err := p.placement(1, 0, 1, "127.0.0.1:8080", "127.0.0.1:9", "127.0.0.1:8500", nil, []byte(`{"seq":1,"hosts":[]}`))
 	assert.NoError(t, err)
 	assert.NotEqual(t, config, bare)
 	assert.NoError(t, os.WriteFile(path, bare, 0o600))
--- a/internal/lab/experiment/process.go
+++ b/internal/lab/experiment/process.go
@@ -19,6 +19,8 @@
 type process struct {
 	name, folder string
 	command      []string // the program and its arguments
+	directory    string   // for its temporary files, the same for both processes of an upgrade
+	mgmt         string   // where its operators call
 	log          *os.File
 
 	mu      sync.Mutex
@@ -36,19 +38,42 @@
 	if err != nil {
 		return nil, err
 	}
-	return &process{name: name, folder: folder, command: command, log: log}, nil
+	directory := filepath.Join(folder, name+".tmp")
+	if err := os.MkdirAll(directory, 0o700); err != nil {
+		return nil, err
+	}
+	return &process{name: name, folder: folder, command: command, log: log, directory: directory}, nil
+}
+
+// write leaves a configuration for the process, whole at any moment.
+func (p *process) write(config []byte) error {
+	path := filepath.Join(p.folder, p.name+".json")
+	if err := os.WriteFile(path+".new", config, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
+// follows takes over what another process of the same dispatcher, which has ended, came to.
+func (p *process) follows(old *process) {
+	old.mu.Lock()
+	defer old.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cpu += old.cpu
+	p.faults = append(p.faults, old.faults...)
 }
 
 // start starts the program with a configuration.
 func (p *process) start(config []byte) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	path := filepath.Join(p.folder, p.name+".json")
-	if err := os.WriteFile(path, config, 0o600); err != nil {
+	if err := p.write(config); err != nil {
 		return err
 	}
+	path := filepath.Join(p.folder, p.name+".json")
 	cmd := exec.Command(p.command[0], p.command[1:]...)
-	cmd.Env = append(os.Environ(), "LB_CONFIG="+path)
+	cmd.Env = append(os.Environ(), "LB_CONFIG="+path, "TMPDIR="+p.directory)
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	cmd.SysProcAttr = apart()
 	if err := cmd.Start(); err != nil {
--- a/internal/lab/experiment/settings.go
+++ b/internal/lab/experiment/settings.go
@@ -71,16 +71,17 @@
 	Discovery  string           `json:"discovery"`
 	Seed       string           `json:"seed"`
 	Limits     object           `json:"limits"`
+	Mgmt       string           `json:"mgmt"`
 	PeerListen string           `json:"peer_listen,omitempty"`
 	Peers      []netip.AddrPort `json:"peers,omitempty"`
 	Known      json.RawMessage  `json:"known,omitempty"`
 	Settings   object           `json:"settings"`
 }
 
-func (p *Plan) placement(n, lives int, seed uint64, listen, discovery string, peers []netip.AddrPort,
+func (p *Plan) placement(n, lives int, seed uint64, listen, mgmt, discovery string, peers []netip.AddrPort,
 	known []byte) ([]byte, error) {
 	d := &p.Dispatchers
-	c := placement{Name: dispatcherName(n), Listen: listen, Discovery: discovery,
+	c := placement{Name: dispatcherName(n), Listen: listen, Mgmt: mgmt, Discovery: discovery,
 		Seed:   fmt.Sprintf("%016x", unit.Chance(seed, fmt.Sprint("dispatcher ", n, " ", lives)).Uint64()),
 		Limits: object{"cores": d.Cores, "memory_mb": d.MemoryMB, "sockets": d.Sockets},
 		Known:  known, Settings: p.settings(n)}
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -177,6 +177,11 @@
 		if err != nil {
 			return err
 		}
+		mgmt, err := freePort(taken)
+		if err != nil {
+			return err
+		}
+		p.mgmt = mgmt.String()
 		w.processes = append(w.processes, p)
 	}
 	d := &w.plan.Dispatchers
@@ -206,13 +211,8 @@
 
 // launch starts one dispatcher's process: it has been told nothing yet.
 func (w *world) launch(n int) error {
-	var peers []netip.AddrPort
-	if w.peers != nil {
-		peers = w.peers.View(n)
-	}
-	p := w.processes[n]
-	config, err := w.plan.placement(n, p.lives, w.seed, w.listen[n].String(), w.list.Address(n), peers,
-		w.list.Whole(n))
+	p := w.process(n)
+	config, err := w.config(n, p.mgmt, w.plan.Dispatchers.Forwards)
 	if err != nil {
 		return err
 	}
@@ -225,6 +225,25 @@
 	return p.start(config)
 }
 
+// config is what a dispatcher's process is told at its start, or at SIGHUP.
+func (w *world) config(n int, mgmt string, forwards int) ([]byte, error) {
+	var peers []netip.AddrPort
+	if w.peers != nil {
+		peers = w.peers.View(n)
+	}
+	plan := *w.plan
+	plan.Dispatchers.Forwards = forwards
+	return plan.placement(n, w.process(n).lives, w.seed, w.listen[n].String(), mgmt, w.list.Address(n), peers,
+		w.list.Whole(n))
+}
+
+// process is the one of a dispatcher that serves.
+func (w *world) process(n int) *process {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.processes[n]
+}
+
 func (w *world) ready(ctx context.Context) error {
 	limit := time.Now().Add(readyWithin)
 	for !w.front.Ready() {
@@ -285,6 +304,9 @@
 		for _, n := range a.Targets {
 			w.doDispatcher(ctx, a.Do, n)
 		}
+	case trouble.DispatcherLeave, trouble.DispatcherJoin, trouble.DispatcherUpgrade, trouble.DispatcherRetune,
+		trouble.ClientsSilent, trouble.ClientsPieces:
+		w.operators(ctx, a)
 	default:
 		for _, n := range a.Targets {
 			w.doWorker(a, n)
@@ -343,7 +365,7 @@
 }
 
 func (w *world) doDispatcher(ctx context.Context, do trouble.Do, n int) {
-	p := w.processes[n]
+	p := w.process(n)
 	switch do {
 	case trouble.DispatcherKill:
 		w.leaves(n)
@@ -366,7 +388,7 @@
 
 // restart ends a dispatcher as the platform plans it, and starts it again.
 func (w *world) restart(ctx context.Context, n int) {
-	p, from := w.processes[n], w.clock()
+	p, from := w.process(n), w.clock()
 	if !p.up() {
 		return
 	}
@@ -430,6 +452,7 @@
 		w.ledger.Away(ledger.Outage{Dispatcher: n, From: w.away[n], To: 1 << 62})
 	}
 	w.mu.Unlock()
+	w.reconcile()
 	w.endProcesses(endWithin)
 	w.stop()
 	err := w.running.Wait()
--- a/internal/lab/sender/front.go
+++ b/internal/lab/sender/front.go
@@ -57,7 +57,7 @@
 	for n := range f.addresses {
 		asking.Go(func() {
 			for ctx.Err() == nil {
-				f.healthy(n, f.ask(ctx, n))
+				f.healthy(f.ask(ctx, n))
 				select {
 				case <-time.After(askEvery):
 				case <-ctx.Done():
@@ -75,27 +75,30 @@
 	return nil
 }
 
-func (f *Front) ask(ctx context.Context, n int) bool {
+// ask tells whether a dispatcher says yes, or says no in so many words.
+func (f *Front) ask(ctx context.Context, n int) (at int, yes, no bool) {
 	ctx, cancel := context.WithTimeout(ctx, askWithin)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.addresses[n]+"/_health", nil)
 	if err != nil {
-		return false
+		return n, false, false
 	}
 	a, err := f.health.Do(r)
 	if err != nil {
-		return false
+		return n, false, false
 	}
 	a.Body.Close()
-	return a.StatusCode == http.StatusOK
+	return n, a.StatusCode == http.StatusOK, a.StatusCode != http.StatusOK
 }
 
-func (f *Front) healthy(n int, good bool) {
+func (f *Front) healthy(n int, good, no bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
 	case good:
 		f.in[n], f.good[n] = true, time.Now()
+	case no: // it has been emptied: clients go on using the connections that they have
+		f.in[n] = false
 	case f.in[n] && time.Since(f.good[n]) > f.notice:
 		f.in[n] = false
 		f.drop(n)
--- a/internal/lab/sender/sender_test.go
+++ b/internal/lab/sender/sender_test.go
@@ -186,11 +186,14 @@
 }
 
 func TestFrontNoticesADeathLateAndAReturnAtOnce(t *testing.T) {
-	var good atomic.Bool
+	var good, no atomic.Bool
 	good.Store(true)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if !good.Load() {
+		switch {
+		case no.Load():
 			w.WriteHeader(503)
+		case !good.Load():
+			panic(http.ErrAbortHandler)
 		}
 	}))
 	defer server.Close()
@@ -205,6 +208,10 @@
 	assert.GreaterOrEqual(t, time.Since(died), 300*ms)
 	good.Store(true)
 	assert.Eventually(t, f.Ready, 5*time.Second, ms)
+	no.Store(true)
+	died = time.Now()
+	assert.Eventually(t, func() bool { return !f.Ready() }, 5*time.Second, ms)
+	assert.Less(t, time.Since(died), 300*ms, "one that says no is left at once")
 	cancel()
 	assert.NoError(t, <-done)
 }
--- a/internal/lab/trouble/timeline.go
+++ b/internal/lab/trouble/timeline.go
@@ -24,12 +24,14 @@
 	Dispatchers int       `toml:"dispatchers"` // how many it meets
 	Zone        string    `toml:"zone"`
 	Customer    string    `toml:"customer"`
-	Factor      float64   `toml:"factor"` // slow: times slower; burst, flood: times the usual load
-	Share       float64   `toml:"share"`  // neighbour: of the machine that is taken; peer-loss: of datagrams
-	Every       unit.Span `toml:"every"`  // neighbour: from one spell to the next
-	Width       unit.Span `toml:"width"`  // neighbour: how long a spell is
-	Lag         unit.Span `toml:"lag"`    // list-lag: how far behind the list runs
-	Gap         unit.Span `toml:"gap"`    // rolling-restart: between two dispatchers; drain: until it is back
+	Factor      float64   `toml:"factor"`      // slow: times slower; burst, flood: times the usual load
+	Share       float64   `toml:"share"`       // neighbour: of the machine that is taken; peer-loss: of datagrams
+	Every       unit.Span `toml:"every"`       // neighbour: from one spell to the next
+	Width       unit.Span `toml:"width"`       // neighbour: how long a spell is
+	Lag         unit.Span `toml:"lag"`         // list-lag: how far behind the list runs
+	Gap         unit.Span `toml:"gap"`         // rolling-restart, upgrade: between two dispatchers; drain: until it is back
+	Forwards    int       `toml:"forwards"`    // new-settings: for one invocation at the most
+	Connections int       `toml:"connections"` // silent-clients, piecemeal-clients: of them
 }
 
 // World is what troubles can meet.
@@ -67,6 +69,12 @@
 	DispatcherStall
 	DispatcherGoOn
 	DispatcherRestart // planned: asked to end, then started again
+	DispatcherLeave   // told to empty
+	DispatcherJoin
+	DispatcherUpgrade // by a second process beside it
+	DispatcherRetune  // to Figure forwards, 0 for the usual number
+	ClientsSilent     // Figure of them for Span
+	ClientsPieces
 	PeersCut
 	PeersLose // Figure of the datagrams
 	PeersFine
@@ -128,7 +136,13 @@
 		some("%d dispatchers killed", DispatcherKill, DispatcherStart)},
 	"dispatcher-stall": {[]string{"dispatchers", "for"},
 		some("%d dispatchers stand still", DispatcherStall, DispatcherGoOn)},
-	"rolling-restart": {nil, (*planner).rolling},
+	"rolling-restart": {nil, turn("dispatchers restarted in turn", DispatcherRestart)},
+	"upgrade":         {nil, turn("dispatchers upgraded in turn", DispatcherUpgrade)},
+	"leave": {[]string{"dispatchers", "for"},
+		some("%d dispatchers emptied", DispatcherLeave, DispatcherJoin)},
+	"new-settings":      {[]string{"forwards"}, (*planner).retune},
+	"silent-clients":    {[]string{"connections", "for"}, crowd("%d silent clients", ClientsSilent)},
+	"piecemeal-clients": {[]string{"connections", "for"}, crowd("%d clients byte by byte", ClientsPieces)},
 }
 
 // Plan makes the timeline. The error names the trouble and the key.
@@ -180,6 +194,10 @@
 		if !(s.Factor > 1) {
 			return wrong("%v, must be more than 1", s.Factor)
 		}
+	case "forwards", "connections":
+		if n := map[string]int{"forwards": s.Forwards, "connections": s.Connections}[key]; n < 1 || n > 10_000 {
+			return wrong("%d, must be from 1 to 10000", n)
+		}
 	case "share":
 		if !(s.Share > 0 && s.Share < 1) {
 			return wrong("%v, must be between 0 and 1", s.Share)
@@ -287,15 +305,37 @@
 // usualGap is between the restarts of two dispatchers.
 const usualGap = 2 * time.Second
 
-func (p *planner) rolling() string {
-	gap := p.spec.Gap.D()
-	if gap <= 0 {
-		gap = usualGap
+// turn plans what meets one dispatcher after the other.
+func turn(what string, do Do) func(*planner) string {
+	return func(p *planner) string {
+		gap := p.spec.Gap.D()
+		if gap <= 0 {
+			gap = usualGap
+		}
+		for d := range p.world.Dispatchers {
+			p.do(p.from()+time.Duration(d)*gap, do, []int{d}, 0)
+		}
+		return what
+	}
+}
+
+// retune plans new settings at all dispatchers; with an end the usual ones come back.
+func (p *planner) retune() string {
+	targets := p.drawn(p.world.Dispatchers, p.world.Dispatchers)
+	p.do(p.from(), DispatcherRetune, targets, float64(p.spec.Forwards))
+	if p.spec.For > 0 {
+		p.do(p.to(), DispatcherRetune, targets, 0)
 	}
-	for d := range p.world.Dispatchers {
-		p.do(p.from()+time.Duration(d)*gap, DispatcherRestart, []int{d}, 0)
+	return fmt.Sprintf("new settings: %d forwards", p.spec.Forwards)
+}
+
+// crowd plans clients that keep connections and bring nothing whole.
+func crowd(what string, do Do) func(*planner) string {
+	return func(p *planner) string {
+		p.out.Actions = append(p.out.Actions, Action{At: p.from(), Do: do, Figure: float64(p.spec.Connections),
+			Span: p.spec.For.D(), Trouble: p.n})
+		return fmt.Sprintf(what, p.spec.Connections)
 	}
-	return "dispatchers restarted in turn"
 }
 
 // span plans a state of some workers that begins and ends.
