--- a/decide/facade.go
+++ b/decide/facade.go
@@ -334,8 +334,8 @@
 }
 
 // ReportListLost tells that the list could not be had, or is no longer followed. What was asked for before is
-// answered by that: else it would be asked for again with no wait. Where the service had answered, and what it told was
-// cut, the wait begins anew: it is not overloaded, and what it has to tell counts as told.
+// answered by that: else it would be asked for again with no wait. Where the service had answered, and what
+// it told was cut, the wait begins anew: it is not overloaded, and what it has to tell counts as told.
 func (f *Facade) ReportListLost(answered bool) {
 	f.with(func(d *Dispatcher) {
 		if answered {
--- a/decide/hand.go
+++ b/decide/hand.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// Adopted is an invocation that one process of this dispatcher hands to another, with the terms that it landed with.
+// Adopted is an invocation that one process of this dispatcher hands to another, with the terms that it
+// landed with.
 type Adopted struct {
 	Name             string
 	Objective        Time
@@ -31,8 +32,8 @@
 	Out, Ran      bool
 }
 
-// Hand takes an invocation out of the decisions, for another process to go on with. It holds only while it is open, with
-// so many forwards out; Pick then returns HandOver.
+// Hand takes an invocation out of the decisions, for another process to go on with. It holds only while it is
+// open, with so many forwards out; Pick then returns HandOver.
 func (t *Ticket) Hand(out int) (a Adopted, ok bool) {
 	t.f.with(func(d *Dispatcher) {
 		sends := slices.ContainsFunc(t.choices, func(c Choice) bool { return c.Do == Send })
@@ -59,8 +60,8 @@
 	return a, ok
 }
 
-// Adopt goes on with an invocation that another process has handed over. The contexts are those of its forwards that are
-// out; each is to be reported by its number.
+// Adopt goes on with an invocation that another process has handed over. The contexts are those of its
+// forwards that are out; each is to be reported by its number.
 func (f *Facade) Adopt(a Adopted) (*Ticket, []context.Context) {
 	t := &Ticket{f: f, ready: make(chan struct{}, 1), until: a.Until}
 	contexts := make([]context.Context, len(a.Forwards))
@@ -81,8 +82,8 @@
 
 func (d *Dispatcher) adopt(inv Inv, a Adopted) {
 	d.invs = append(d.invs, make([]invocation, max(0, int(inv)+1-len(d.invs)))...)
-	op := d.generation(a.Name, operation{name: a.Name, objective: a.Objective, window: a.Window, comeBack: a.ComeBack,
-		value: a.Value, slack: a.Slack, repeat: a.Repeat, scope: a.Scope, kind: a.Kind})
+	op := d.generation(a.Name, operation{name: a.Name, objective: a.Objective, window: a.Window,
+		comeBack: a.ComeBack, value: a.Value, slack: a.Slack, repeat: a.Repeat, scope: a.Scope, kind: a.Kind})
 	grace := Time(time.Until(a.Until) / (time.Second / Second))
 	i := &d.invs[inv]
 	*i = invocation{op: op, timeout: d.now + grace - d.margin, latest: a.Latest, size: a.Size, counts: a.Counts,
--- a/decide/hand_test.go
+++ b/decide/hand_test.go
@@ -82,7 +82,8 @@
 	assert.Equal(t, Work(500), f.d.spent[1][len(f.d.spent[1])-1].work)
 }
 
-// Guards against a successor that begins with nothing: eight slots believed, and every failure to be found out again.
+// Guards against a successor that begins with nothing: eight slots believed, and every failure to be found
+// out again.
 func TestWhatWasLearntIsInherited(t *testing.T) {
 	terms := namedTerms()
 	terms.ReportFree, terms.Peers = -1, true
@@ -102,8 +103,10 @@
 	*at = *now
 	next.Inherit(passed(t, old.Legacy()))
 	d, was := next.d, old.d
-	for _, pair := range [][2]any{{was.slots, d.slots}, {was.votes, d.votes}, {was.fails, d.fails}, {was.trialAt, d.trialAt},
-		{was.zoneAt, d.zoneAt}, {was.sample, d.sample}, {was.used, d.used}, {was.ops, d.ops}, {was.others, d.others}} {
+	for _, pair := range [][2]any{{was.slots, d.slots}, {was.votes, d.votes},
+		{was.fails, d.fails}, {was.trialAt, d.trialAt},
+		{was.zoneAt, d.zoneAt}, {was.sample, d.sample}, {was.used, d.used}, {was.ops, d.ops},
+		{was.others, d.others}} {
 		assert.Equal(t, fmt.Sprint(pair[0]), fmt.Sprint(pair[1]))
 	}
 	_, avoided := next.Workers()
--- a/decide/retune.go
+++ b/decide/retune.go
@@ -23,8 +23,9 @@
 		}
 	}
 	d.quota, d.used, d.usedAt, d.customers = fresh.quota, used, at, fresh.customers
-	d.coldFrom, d.multiple, d.ramp, d.span, d.unit = fresh.coldFrom, fresh.multiple, fresh.ramp, fresh.span, fresh.unit
-	d.surplusShare, d.crossing, d.perInv, d.worstWeight = fresh.surplusShare, fresh.crossing, fresh.perInv, fresh.worstWeight
+	d.coldFrom, d.multiple, d.ramp, d.span = fresh.coldFrom, fresh.multiple, fresh.ramp, fresh.span
+	d.unit, d.surplusShare, d.crossing = fresh.unit, fresh.surplusShare, fresh.crossing
+	d.perInv, d.worstWeight = fresh.perInv, fresh.worstWeight
 	d.margin, d.askWithin, d.spread, d.patience = fresh.margin, fresh.askWithin, fresh.spread, fresh.patience
 	d.cancels, d.copies = fresh.cancels, fresh.copies
 	d.probes, d.keepers = fresh.probes, fresh.keepers
@@ -69,8 +70,8 @@
 }
 
 func (o *operation) sameTerms(b *operation) bool {
-	return o.objective == b.objective && o.window == b.window && o.comeBack == b.comeBack && o.value == b.value &&
-		o.slack == b.slack && o.repeat == b.repeat && o.scope == b.scope && o.kind == b.kind
+	return o.objective == b.objective && o.window == b.window && o.comeBack == b.comeBack &&
+		o.value == b.value && o.slack == b.slack && o.repeat == b.repeat && o.scope == b.scope && o.kind == b.kind
 }
 
 // Retune takes new terms.
--- a/internal/lab/command/lab_test.go
+++ b/internal/lab/command/lab_test.go
@@ -22,8 +22,8 @@
 	"canvasroute/internal/program"
 )
 
-// The test binary stands in for both programs: for canvaslab with arguments after "lab", for canvasroute where a
-// dispatcher is started.
+// The test binary stands in for both programs: for canvaslab with arguments after "lab", for canvasroute
+// where a dispatcher is started.
 func TestMain(m *testing.M) {
 	switch {
 	case len(os.Args) > 1 && os.Args[1] == "stand-in":
@@ -148,8 +148,8 @@
 	}
 }
 
-// Several instances in each of two processes share drains and the cold worker's budget with all the others, also
-// where datagrams between processes are not allowed or are lost.
+// Several instances in each of two processes share drains and the cold worker's budget with all the others,
+// also where datagrams between processes are not allowed or are lost.
 func TestInstancesOfSeveralProcessesKeepTheRulesTogether(t *testing.T) {
 	for name, peers := range map[string]string{"told": "", "lossy": "peer-loss = 0.5\n", "untold": "peers = false\n"} {
 		t.Run(name, func(t *testing.T) {
@@ -241,8 +241,8 @@
 	}
 }
 
-// Two processes of each dispatcher, and operators' work meanwhile, are judged as one dispatcher; its own figures agree
-// with what clients saw, which the lab checks where there was one process.
+// Two processes of each dispatcher, and operators' work meanwhile, are judged as one dispatcher; its own
+// figures agree with what clients saw, which the lab checks where there was one process.
 func TestOperatorsWorkUnderLoadBreaksNoRule(t *testing.T) {
 	r := playFile(t, fmt.Sprintf(short, "canvasroute", "")+`[[trouble]]
 kind = "upgrade"
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -70,7 +70,8 @@
 	}
 }
 
-// What the lab writes as a configuration is what a dispatcher reads: else an experiment would test its defaults.
+// What the lab writes as a configuration is what a dispatcher reads: else an experiment would test its
+// defaults.
 func TestConfigurationIsReadByTheDispatcherAsItWasMeant(t *testing.T) {
 	p := parsed(t, `[[operation]]
 name = "keyed"
@@ -105,10 +106,12 @@
 for = "1s"
 `)
 	path := filepath.Join(t.TempDir(), "c.json")
-	config, err := p.placement(1, 0, 1, "127.0.0.1:8080", "127.0.0.1:9", "127.0.0.1:8500", nil, []byte(`{"seq":1,"hosts":[]}`))
+	config, err := p.placement(1, 0, 1, "127.0.0.1:8080", "127.0.0.1:9", "127.0.0.1:8500", nil,
+		[]byte(`{"seq":1,"hosts":[]}`))
 	assert.NoError(t, err)
 	p.Dispatchers.Peers = false
-	bare, err := p.placement(1, 0, 1, "127.0.0.1:8080", "127.0.0.1:9", "127.0.0.1:8500", nil, []byte(`{"seq":1,"hosts":[]}`))
+	bare, err := p.placement(1, 0, 1, "127.0.0.1:8080", "127.0.0.1:9", "127.0.0.1:8500", nil,
+		[]byte(`{"seq":1,"hosts":[]}`))
 	assert.NoError(t, err)
 	assert.NotEqual(t, config, bare)
 	assert.NoError(t, os.WriteFile(path, bare, 0o600))
--- a/internal/lab/experiment/operators.go
+++ b/internal/lab/experiment/operators.go
@@ -60,7 +60,8 @@
 	}
 }
 
-// upgrade starts a second process of a dispatcher, and asks the first one to end once the second takes clients.
+// upgrade starts a second process of a dispatcher, and asks the first one to end once the second takes
+// clients.
 func (w *world) upgrade(ctx context.Context, n int) {
 	old := w.process(n)
 	next, err := newProcess(fmt.Sprintf("%s-%d", dispatcherName(n), old.lives+1), w.folder, w.command)
@@ -88,7 +89,8 @@
 			break
 		}
 		if time.Now().After(limit) || ctx.Err() != nil {
-			w.failed(fmt.Errorf("%s: its second process does not take clients within %v", dispatcherName(n), yesWithin))
+			w.failed(fmt.Errorf("%s: its second process does not take clients within %v", dispatcherName(n),
+				yesWithin))
 			next.kill()
 			return
 		}
@@ -102,8 +104,8 @@
 	next.follows(old)
 }
 
-// crowd opens connections of clients that never ask for anything whole, until ctx ends: silent ones, or ones that send a
-// byte now and then. One that is ended is opened again.
+// crowd opens connections of clients that never ask for anything whole, until ctx ends: silent ones, or ones
+// that send a byte now and then. One that is ended is opened again.
 func (w *world) crowd(ctx context.Context, connections int, every time.Duration) {
 	const text = "POST /api HTTP/1.1\r\nReq-Id: never\r\nReq-Kind: never\r\n"
 	for n := range connections {
@@ -178,8 +180,8 @@
 	figureLeast = 3
 )
 
-// reconcile holds the figures of each dispatcher that has had one process against what the ledger saw at clients and
-// workers. What clients left may be counted or not.
+// reconcile holds the figures of each dispatcher that has had one process against what the ledger saw at
+// clients and workers. What clients left may be counted or not.
 func (w *world) reconcile() {
 	for n := range w.listen {
 		p := w.process(n)
@@ -198,7 +200,8 @@
 			}
 		}
 		unsure := seen["unanswered"] + seen["broken"] + seen["unreachable"] + seen["interrupted"]
-		for _, pair := range [][2]string{{"succeeded", "succeeded"}, {"declined", "throttled"}, {"aborted", "errored"}} {
+		for _, pair := range [][2]string{{"succeeded", "succeeded"}, {"declined", "throttled"},
+			{"aborted", "errored"}} {
 			was, is := told[pair[0]], seen[pair[1]]
 			if slack := unsure + max(figureLeast, int(figureShare*float64(is))); was < is-slack || was > is+slack {
 				w.failed(fmt.Errorf("%s: svc.%s says %d, clients saw %d", dispatcherName(n), pair[0], was, is))
--- a/internal/lab/trouble/timeline.go
+++ b/internal/lab/trouble/timeline.go
@@ -25,11 +25,11 @@
 	Zone        string    `toml:"zone"`
 	Customer    string    `toml:"customer"`
 	Factor      float64   `toml:"factor"`      // slow: times slower; burst, flood: times the usual load
-	Share       float64   `toml:"share"`       // neighbour: of the machine that is taken; peer-loss: of datagrams
+	Share       float64   `toml:"share"`       // neighbour: of the machine; peer-loss: of datagrams
 	Every       unit.Span `toml:"every"`       // neighbour: from one spell to the next
 	Width       unit.Span `toml:"width"`       // neighbour: how long a spell is
 	Lag         unit.Span `toml:"lag"`         // list-lag: how far behind the list runs
-	Gap         unit.Span `toml:"gap"`         // rolling-restart, upgrade: between two dispatchers; drain: until it is back
+	Gap         unit.Span `toml:"gap"`         // rolling-restart, upgrade: between two; drain: until it is back
 	Forwards    int       `toml:"forwards"`    // new-settings: for one invocation at the most
 	Connections int       `toml:"connections"` // silent-clients, piecemeal-clients: of them
 }
--- a/internal/lab/trouble/timeline_test.go
+++ b/internal/lab/trouble/timeline_test.go
@@ -85,13 +85,15 @@
 
 func TestOperatorsWorkMeetsDispatchersAndClients(t *testing.T) {
 	line, err := Plan([]Spec{{Kind: "upgrade", At: sec}, {Kind: "leave", At: sec, For: sec, Dispatchers: 2},
-		{Kind: "new-settings", At: sec, For: sec, Forwards: 1}, {Kind: "silent-clients", For: sec, Connections: 7}}, world, 1)
+		{Kind: "new-settings", At: sec, For: sec, Forwards: 1},
+		{Kind: "silent-clients", For: sec, Connections: 7}}, world, 1)
 	assert.NoError(t, err)
 	assert.Len(t, find(line, DispatcherUpgrade), 3, "in turn")
 	assert.Equal(t, find(line, DispatcherLeave)[0].Targets, find(line, DispatcherJoin)[0].Targets)
 	settings := find(line, DispatcherRetune)
 	assert.Equal(t, []any{1.0, 0.0, 3}, []any{settings[0].Figure, settings[1].Figure, len(settings[0].Targets)})
-	assert.Equal(t, []any{7.0, time.Second}, []any{find(line, ClientsSilent)[0].Figure, find(line, ClientsSilent)[0].Span})
+	silent := find(line, ClientsSilent)[0]
+	assert.Equal(t, []any{7.0, time.Second}, []any{silent.Figure, silent.Span})
 	_, err = Plan([]Spec{{Kind: "silent-clients", For: sec}}, world, 1)
 	assert.ErrorContains(t, err, "trouble[0].connections: 0, must be from 1")
 }
--- a/internal/program/handover.go
+++ b/internal/program/handover.go
@@ -84,6 +84,13 @@
 	return h.heir.Legacy
 }
 
+// close ends the link to the predecessor, which goes on alone if this process has never served.
+func (h *handover) close() {
+	if h != nil && h.heir != nil {
+		h.heir.Link.Close()
+	}
+}
+
 // run waits for a successor, and meanwhile sees the predecessor off.
 func (h *handover) run(ctx context.Context) error {
 	if h.heir != nil {
@@ -292,7 +299,7 @@
 		}
 		finish = func(context.Context) *protocol.Answer { return &protocol.Answer{Status: 502} } // it may have run
 	}
-	h.server.Adopt(client, open.Early, open.Closes, finish)
+	h.server.Adopt(client, open.Early, open.Closes, open.Interim, finish)
 }
 
 func (h *handover) serving() *upgrade.Link {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -62,6 +62,7 @@
 
 	pool := transport.NewPool(room.workers, p.Idle, log)
 	upgrade := meet(p, log)
+	defer upgrade.close()
 	p.Routing.Legacy, p.Routing.Hands = upgrade.legacy(), upgrade != nil
 	datagrams, err := peerSocket(p, upgrade)
 	if err != nil {
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -79,13 +79,14 @@
 		{`"repeat":"idempotent"`, `"repeat":"often"`, `settings: operations[0]: unknown repeat "often"`},
 		{`"balancers":2`, `"balancers":0`, "settings: balancers: 0"},
 		{`"name":"n3"`, `"name":"n3","mgmt":"nowhere"`, `mgmt: "nowhere" is not an address`},
-		{`"clientTimeoutS":2.5`, `"clientTimeoutS":0`, "settings.operations[0].clientTimeoutS: 0, must be a positive"},
+		{`"clientTimeoutS":2.5`, `"clientTimeoutS":0`, "operations[0].clientTimeoutS: 0, must be a positive"},
 		{`"clientTimeoutS":2.5`, `"clientTimeoutS":"2"`, `operations[0].clientTimeoutS: "2", must be a positive`},
 		{`"clientTimeoutS":2.5`, `"clientTimeoutS":1e999`, "operations[0].clientTimeoutS"},
 		{`"latencyObjectiveS":1`, `"latencyObjectiveS":-1`, "latencyObjectiveS: -1"},
 		{`"maxForwards":3`, `"maxForwards":0`, "settings.policyLimits.maxForwards: 0, must be a positive"},
 		{`"maxForwards":3`, `"maxForwards":1.5`, "maxForwards: 1.5, must be a whole"},
-		{`"operations":[`, `"operations":[{"name":"render","repeat":"idempotent"},`, "operations[1].name: \"render\" is"},
+		{`"operations":[`, `"operations":[{"name":"render","repeat":"idempotent"},`,
+			"operations[1].name: \"render\" is"},
 		{`"settings":`, `"other":`, "settings: not an object"},
 		{`{"name"`, `["name"`, "not JSON"},
 	} {
@@ -255,8 +256,8 @@
 	assert.Eventually(t, told("bad configuration, the old one is kept"), 5*time.Second, time.Millisecond)
 	there := strings.TrimPrefix(list.URL, "http://")
 	listen := strings.TrimPrefix(url, "http://")
-	turn(strings.NewReplacer("127.0.0.1:8500", there, `"sockets":1024`, `"sockets":512`, "127.0.0.1:8080", listen).
-		Replace(configuration))
+	turn(strings.NewReplacer("127.0.0.1:8500", there, `"sockets":1024`, `"sockets":512`, "127.0.0.1:8080",
+		listen).Replace(configuration))
 	select {
 	case target := <-asked:
 		assert.Equal(t, "/catalog/members?stream=1&index=41", target)
@@ -276,14 +277,14 @@
 	url, _, ended := running(t, 300*time.Millisecond, func() (*Placement, error) {
 		return ReadAnew(environment("LB_CONFIG", path, "LB_MGMT", mgmt))
 	}, func(p *Placement) { p.Mgmt, p.PeerListen = mgmt, "" })
-	whole := strings.NewReplacer("127.0.0.1:8080", strings.TrimPrefix(url, "http://"), "127.0.0.1:8500", "127.0.0.1:9",
-		`"peers":true`, `"peers":false`).Replace(configuration)
+	whole := strings.NewReplacer("127.0.0.1:8080", strings.TrimPrefix(url, "http://"), "127.0.0.1:8500",
+		"127.0.0.1:9", `"peers":true`, `"peers":false`).Replace(configuration)
 	rejected := 0
 	turn := func(text string, figure string) {
 		assert.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 		assert.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
-		assert.Eventually(t, func() bool { return strings.Contains(called(t, mgmt, "DUMP"), figure+"\n") }, time.Second,
-			5*time.Millisecond, figure)
+		says := func() bool { return strings.Contains(called(t, mgmt, "DUMP"), figure+"\n") }
+		assert.Eventually(t, says, time.Second, 5*time.Millisecond, figure)
 	}
 	asked := func(kind string) int {
 		q, _ := http.NewRequest("POST", url+"/api", nil)
@@ -296,9 +297,11 @@
 		a.Body.Close()
 		return a.StatusCode
 	}
-	for _, broken := range []string{"", whole[:len(whole)/2], "[]", strings.Replace(whole, `"maxForwards":3,`, "", 1),
+	for _, broken := range []string{"", whole[:len(whole)/2], "[]",
+		strings.Replace(whole, `"maxForwards":3,`, "", 1),
 		strings.Replace(whole, `"clientTimeoutS":2.5`, `"clientTimeoutS":-1`, 1),
-		strings.Replace(whole, `"clientTimeoutS":2.5,`, "", 1), strings.Replace(whole, `"name":"n3"`, `"name":"n4"`, 1),
+		strings.Replace(whole, `"clientTimeoutS":2.5,`, "", 1),
+		strings.Replace(whole, `"name":"n3"`, `"name":"n4"`, 1),
 		strings.Replace(strings.Replace(whole, "render", "other", 1), `"maxForwards":3`, `"maxForwards":0`, 1),
 	} {
 		rejected++
@@ -307,8 +310,8 @@
 	}
 	open := make(chan int)
 	go func() { open <- asked("render") }()
-	assert.Eventually(t, func() bool { return strings.Contains(called(t, mgmt, "DUMP"), "svc.forwards=1\n") }, time.Second,
-		time.Millisecond)
+	sent := func() bool { return strings.Contains(called(t, mgmt, "DUMP"), "svc.forwards=1\n") }
+	assert.Eventually(t, sent, time.Second, time.Millisecond)
 	turn(strings.Replace(whole, "render", "other", 1), "svc.sighup_applied=1")
 	assert.Equal(t, []int{200, 400, 200}, []int{asked("other"), asked("render"), <-open}, "what is open goes on")
 	turn(whole, "svc.sighup_applied=2")
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -45,7 +45,8 @@
 		return fmt.Errorf("%s: missing; the configuration in force has it", key)
 	}
 	for _, k := range []struct{ key, was, is string }{
-		{"name", p.Name, next.Name}, {"listen", p.Listen, next.Listen}, {"peer_listen", p.PeerListen, next.PeerListen},
+		{"name", p.Name, next.Name}, {"listen", p.Listen, next.Listen},
+		{"peer_listen", p.PeerListen, next.PeerListen},
 	} {
 		if k.was != k.is {
 			return fmt.Errorf("%s: %q, must stay %q while the process runs", k.key, k.is, k.was)
@@ -61,7 +62,8 @@
 	was := p.Decisions
 	taken.Decisions = next.Decisions
 	d := &taken.Decisions
-	d.Dispatchers, d.Position, d.Zone, d.Kinds, d.Peers = was.Dispatchers, was.Position, was.Zone, was.Kinds, was.Peers
+	d.Dispatchers, d.Position, d.Zone = was.Dispatchers, was.Position, was.Zone
+	d.Kinds, d.Peers = was.Kinds, was.Peers
 	d.StartNotes, d.ReportsOnProbe, d.Probes = was.StartNotes, was.ReportsOnProbe, was.Probes
 	d.ReportInFlight, d.ReportQueue, d.ReportFree = was.ReportInFlight, was.ReportQueue, was.ReportFree
 	r, n := &taken.Routing, next.Routing
@@ -79,12 +81,14 @@
 	}{
 		{"mgmt", taken.Mgmt, file.Mgmt},
 		{"peers", taken.Routing.Peers, file.Routing.Peers},
-		{"limits", [3]any{taken.Cores, taken.MemoryMB, taken.Sockets}, [3]any{file.Cores, file.MemoryMB, file.Sockets}},
+		{"limits", [3]any{taken.Cores, taken.MemoryMB, taken.Sockets},
+			[3]any{file.Cores, file.MemoryMB, file.Sockets}},
 		{"settings.policyLimits.connIdleS", taken.Idle, file.Idle},
 		{"settings.zones", taken.Routing.Zones, file.Routing.Zones},
 		{"settings.shapes", taken.Routing.Kinds, file.Routing.Kinds},
 		{"settings.report", taken.Routing.Report, file.Routing.Report},
-		{"settings: balancers, position, zone, peers, probes, start notes or reports", taken.Decisions, file.Decisions},
+		{"settings: balancers, position, zone, peers, probes, start notes or reports", taken.Decisions,
+			file.Decisions},
 	} {
 		if !reflect.DeepEqual(k.was, k.is) {
 			keys = append(keys, k.key)
--- a/internal/protocol/head.go
+++ b/internal/protocol/head.go
@@ -71,6 +71,9 @@
 	return !keep
 }
 
+// Interim tells whether the sender takes interim answers: all of HTTP/1.1 do.
+func (h *Head) Interim() bool { return h.minor > 0 }
+
 // Expects tells whether the sender waits for a word before it sends the body.
 func (h *Head) Expects() bool { return strings.EqualFold(h.Field("expect"), "100-continue") }
 
--- a/internal/protocol/invocation.go
+++ b/internal/protocol/invocation.go
@@ -35,8 +35,8 @@
 
 // MarshalJSON writes all of an invocation.
 func (inv *Invocation) MarshalJSON() ([]byte, error) {
-	c := carried{inv.Method, inv.Target, inv.ID, inv.Operation, inv.Owner, inv.Dedup, inv.Timeout, inv.Hint, inv.Slots,
-		inv.Body, nil}
+	c := carried{inv.Method, inv.Target, inv.ID, inv.Operation, inv.Owner, inv.Dedup, inv.Timeout, inv.Hint,
+		inv.Slots, inv.Body, nil}
 	for _, f := range inv.passed {
 		c.Passed = append(c.Passed, [2]string{f.name, f.value})
 	}
--- a/internal/protocol/list.go
+++ b/internal/protocol/list.go
@@ -27,7 +27,8 @@
 	Gone        = "Gone"
 )
 
-// ParseList reads a list or one line of a watch. With an error the entries are those that were whole before it.
+// ParseList reads a list or one line of a watch. With an error the entries are those that were whole before
+// it.
 func ParseList(b []byte) (l List, err error) {
 	s := scanner{b: b}
 	version := false
--- a/internal/routing/hand.go
+++ b/internal/routing/hand.go
@@ -18,8 +18,8 @@
 // parkWithin bounds the wait for a forward's goroutine to stop reading.
 const parkWithin = 100 * time.Millisecond
 
-// Handed is an invocation that is under way, as one process of this dispatcher hands it to another. Its sockets come with
-// it: the client's, and one for each forward that is out.
+// Handed is an invocation that is under way, as one process of this dispatcher hands it to another. Its
+// sockets come with it: the client's, and one for each forward that is out.
 type Handed struct {
 	Invocation *protocol.Invocation
 	Decided    decide.Adopted
@@ -28,17 +28,19 @@
 	Came       [][]byte // on each forward's connection since it was sent
 	Used       []bool   // those connections were used before
 	Closes     bool     // the client's connection ends with the answer
+	Interim    bool     // the client takes interim answers
 }
 
-// Carrier takes what is handed over, with the client's socket and those of the forwards that are out, by their numbers.
+// Carrier takes what is handed over, with the client's socket and those of the forwards that are out, by
+// their numbers.
 type Carrier func(h *Handed, client syscall.Conn, forwards map[int]syscall.Conn) error
 
 // carrying is an invocation on its way, and what is to be known to hand it over.
 type carrying struct {
-	inv    *protocol.Invocation
-	ticket *decide.Ticket
-	until  time.Time
-	closes bool
+	inv             *protocol.Invocation
+	ticket          *decide.Ticket
+	until           time.Time
+	closes, interim bool
 
 	mu       sync.Mutex
 	passages map[int]*passage // that are out
@@ -78,8 +80,8 @@
 	return all
 }
 
-// HandAll hands over what is open, as far as it can be just now: each of its forwards waits for its worker. What cannot
-// goes on here. It is to be called again until all is over.
+// HandAll hands over what is open, as far as it can be just now: each of its forwards waits for its worker.
+// What cannot goes on here. It is to be called again until all is over.
 func (r *Router) HandAll(to Carrier) {
 	r.underWay.Range(func(key, _ any) bool {
 		r.hand(key.(*carrying), to)
@@ -87,8 +89,9 @@
 	})
 }
 
-// hand stops the reading of each forward, and takes the invocation out of the decisions. From then on its goroutine does
-// the rest. Where either cannot be done now, reading goes on from the start of what has come: nothing is lost by it.
+// hand stops the reading of each forward, and takes the invocation out of the decisions. From then on its
+// goroutine does the rest. Where either cannot be done now, reading goes on from the start of what has come:
+// nothing is lost by it.
 func (r *Router) hand(c *carrying, to Carrier) {
 	if c.isHanded() {
 		return
@@ -106,7 +109,7 @@
 		}
 		parked[n] = p
 	}
-	h := &Handed{Invocation: c.inv, Closes: c.closes}
+	h := &Handed{Invocation: c.inv, Closes: c.closes, Interim: c.interim}
 	c.mu.Lock()
 	decided, ok := c.ticket.Hand(len(parked))
 	if ok {
@@ -122,7 +125,8 @@
 	}
 }
 
-// handOver sends what hand has prepared. Without a successor that takes it the invocation has an unknown outcome.
+// handOver sends what hand has prepared. Without a successor that takes it the invocation has an unknown
+// outcome.
 func (r *Router) handOver(ctx context.Context, c *carrying) *protocol.Answer {
 	c.mu.Lock()
 	h, parked, to := c.handed, c.parked, c.carrier
@@ -168,7 +172,8 @@
 	return sockets, nil
 }
 
-// abandon lets go of what hand has prepared, as the client has left: the forwards that were parked are called off.
+// abandon lets go of what hand has prepared, as the client has left: the forwards that were parked are called
+// off.
 func (r *Router) abandon(c *carrying) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -180,7 +185,8 @@
 	}
 }
 
-// park makes a forward that waits for its worker stop reading. It returns false for one that is elsewhere on its way.
+// park makes a forward that waits for its worker stop reading. It returns false for one that is elsewhere on
+// its way.
 func (p *passage) park() bool {
 	p.mu.Lock()
 	if p.conn == nil {
@@ -208,9 +214,10 @@
 	}
 }
 
-// hear reads the worker's answer, and lets itself be parked meanwhile. handed tells that another process reads on.
-func (f *passage) hear(conn *transport.Conn) (how decide.Outcome, result string, body protocol.Body, handed bool,
-	err error) {
+// hear reads the worker's answer, and lets itself be parked meanwhile. handed tells that another process
+// reads on.
+func (f *passage) hear(conn *transport.Conn) (how decide.Outcome, result string, body protocol.Body,
+	handed bool, err error) {
 	f.mu.Lock()
 	f.conn = conn
 	f.mu.Unlock()
@@ -243,8 +250,8 @@
 	}
 }
 
-// Adopt goes on with what a predecessor has handed over; finish is to be run for the client, on whose connection its
-// answer is to go.
+// Adopt goes on with what a predecessor has handed over; finish is to be run for the client, on whose
+// connection its answer is to go.
 func (r *Router) Adopt(text json.RawMessage, forwards map[int]net.Conn) (h *Handed,
 	finish func(context.Context) *protocol.Answer, err error) {
 	h = &Handed{}
@@ -271,7 +278,8 @@
 	defer ends.out.Add(-1)
 	r.counts.Taken.Add(1)
 	ticket, contexts := r.facade.Adopt(h.Decided)
-	c := &carrying{inv: inv, ticket: ticket, until: h.Decided.Until, closes: h.Closes}
+	c := &carrying{inv: inv, ticket: ticket, until: h.Decided.Until, closes: h.Closes,
+		interim: h.Interim}
 	result := make(chan string, 1)
 	for n, nc := range forwards {
 		tgt := h.Decided.Forwards[n].Tgt
--- a/internal/routing/hand_test.go
+++ b/internal/routing/hand_test.go
@@ -19,8 +19,8 @@
 	"canvasroute/internal/protocol"
 )
 
-// Guards against an answer that gets lost because its invocation was about to be handed over: what comes meanwhile, in
-// whatever pieces, is read as if nothing had been asked.
+// Guards against an answer that gets lost because its invocation was about to be handed over: what comes
+// meanwhile, in whatever pieces, is read as if nothing had been asked.
 func TestInvocationThatCannotBeHandedOverGoesOnAsItWas(t *testing.T) {
 	text := chunked(started, done) + last
 	r := routerTo(standIn(t, func(c net.Conn, _ *http.Request) {
@@ -53,7 +53,8 @@
 	}
 }
 
-// Guards against a client that waits for ever, and a worker's connection that is kept for another one's answer.
+// Guards against a client that waits for ever, and a worker's connection that is kept for another one's
+// answer.
 func TestInvocationThatNobodyTakesOverIsErrored(t *testing.T) {
 	r := routerTo(standIn(t, says(chunked(started), false)))
 	r.terms.Hands = true
@@ -77,7 +78,8 @@
 func TestEachInvocationThatIsTakenEndsAsExactlyOne(t *testing.T) {
 	rng := rand.New(rand.NewPCG(3, 4))
 	var mu sync.Mutex
-	texts := []string{chunked(`{"id":"a100","state":"done","result":"r"}`) + last, "", chunked(started), "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+	texts := []string{chunked(`{"id":"a100","state":"done","result":"r"}`) + last, "", chunked(started),
+		"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"}
 	r := routerTo(standIn(t, func(c net.Conn, q *http.Request) {
 		mu.Lock()
@@ -91,8 +93,8 @@
 	var wg sync.WaitGroup
 	taken, bad := 0, 0
 	for n := range 120 {
-		h, _, err := protocol.ParseAsk(fmt.Appendf(nil, "POST /api HTTP/1.1\r\nReq-Id: i%03d\r\nReq-Deadline: 0.3\r\nReq-Kind: "+
-			"%s\r\n\r\n", n, []string{"idem", "once", "unheard-of"}[n%3]))
+		h, _, err := protocol.ParseAsk(fmt.Appendf(nil, "POST /api HTTP/1.1\r\nReq-Id: i%03d\r\n"+
+			"Req-Deadline: 0.3\r\nReq-Kind: %s\r\n\r\n", n, []string{"idem", "once", "unheard-of"}[n%3]))
 		assert.NoError(t, err)
 		if n%3 == 2 {
 			bad++
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -74,7 +74,8 @@
 	}
 }
 
-// watch makes one call and takes its lines until it ends, with an error always. answered tells whether a watch had begun.
+// watch makes one call and takes its lines until it ends, with an error always. answered tells whether a
+// watch had begun.
 func (r *Router) watch(ctx context.Context, leave context.CancelCauseFunc) (answered bool, err error) {
 	r.place.mu.Lock()
 	r.place.leave = leave
@@ -115,7 +116,8 @@
 	return body, "", nil
 }
 
-func (r *Router) lines(ctx context.Context, conn *transport.Conn, body protocol.Body) (transport.Reason, error) {
+func (r *Router) lines(ctx context.Context, conn *transport.Conn, body protocol.Body) (transport.Reason,
+	error) {
 	var pending []byte
 	var broken error
 	err := conn.Pieces(&body, func(data []byte) bool {
@@ -154,9 +156,10 @@
 	return transport.Blame(err), err
 }
 
-// takeCut takes the workers that a line tells of before the connection ended within it. It guards against a service whose
-// watches are cut again and again: what it has to tell counts as told, and a drain would be seen too late. The version
-// stays, so that the next watch tells all of it again, and nothing is taken for gone.
+// takeCut takes the workers that a line tells of before the connection ended within it. It guards against a
+// service whose watches are cut again and again: what it has to tell counts as told, and a drain would be
+// seen too late. The version stays, so that the next watch tells all of it again, and nothing is taken for
+// gone.
 func (r *Router) takeCut(line []byte) {
 	l, _ := protocol.ParseList(line)
 	r.log.Warn().Int("bytes", len(line)).Int("workers", len(l.Entries)).Msg("list watch cut within a line")
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -242,20 +242,23 @@
 	ends := r.tally.of(inv.Operation)
 	ends.out.Add(1)
 	defer ends.out.Add(-1)
-	a := r.carry(ctx, inv, l, came, h.Closes())
+	a := r.carry(ctx, inv, l, came, h)
 	ends.end(a)
 	return a
 }
 
 // carry brings an invocation that was taken to its answer, nil where its client has left.
 func (r *Router) carry(ctx context.Context, inv *protocol.Invocation, l decide.Landing,
-	came time.Time, closes bool) *protocol.Answer {
+	came time.Time, h *protocol.Head) *protocol.Answer {
 	r.counts.Taken.Add(1)
-	if phase := r.drain.At(time.Now()); !phase.Admits() || phase.Ends() && phase != drain.Yielding && r.facade.Late(l) {
+	phase := r.drain.At(time.Now())
+	cut := phase.Ends() && phase != drain.Yielding // what is under way ends with this process
+	if !phase.Admits() || cut && r.facade.Late(l) {
 		r.counts.Throttled.Add(1)
 		return &protocol.Answer{Status: 503, ComeBack: r.now.Load().comeBackMost}
 	}
-	c := &carrying{inv: inv, ticket: r.facade.Land(l), until: came.Add(inv.Timeout), closes: closes}
+	c := &carrying{inv: inv, ticket: r.facade.Land(l), until: came.Add(inv.Timeout), closes: h.Closes(),
+		interim: h.Interim()}
 	return r.pursue(ctx, c, make(chan string, 1))
 }
 
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -250,7 +250,8 @@
 // Guards against a drain that is seen too late since the watch that told of it was cut.
 func TestWatchThatIsCutLeavesWhatItToldWhole(t *testing.T) {
 	r, err := watched(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n400\r\n"+
-		`{"seq":9,"whole":true,"hosts":[{"host":"w","health":"Terminating"},{"host":"v","dial":"127.0.0.1:2","hea`, true)
+		`{"seq":9,"whole":true,"hosts":[{"host":"w","health":"Terminating"},`+
+		`{"host":"v","dial":"127.0.0.1:2","hea`, true)
 	assert.Contains(t, err, "within a message")
 	assert.Equal(t, int64(7), r.fleet.listVersion(), "the next watch tells all of it again")
 	assert.Equal(t, protocol.Terminating, r.fleet.workers[0].entry.State)
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -101,7 +101,8 @@
 		if quota <= 0 {
 			quota = math.Inf(1)
 		}
-		t.Customers = append(t.Customers, decide.CustomerTerms{Quota: quota, Name: string(c.GetStringBytes("name"))})
+		t.Customers = append(t.Customers, decide.CustomerTerms{Quota: quota,
+			Name: string(c.GetStringBytes("name"))})
 	}
 	if len(t.Customers) == 0 { // all invocations come from one that has no share
 		t.Customers = []decide.CustomerTerms{{Quota: math.Inf(1)}}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"canvasroute/internal/protocol"
 )
@@ -68,6 +69,7 @@
 	dead     atomic.Bool // the process at the other end is known to have ended
 	onEnd    func()
 
+	interim    bool   // its client takes interim answers
 	stopAttend func() // ends the watch for the client's end
 }
 
@@ -291,7 +293,7 @@
 		defer close(done)
 		for !c.in.Full() {
 			if _, err := c.in.Fill(&c.counter); err != nil {
-				if !errors.Is(err, context.DeadlineExceeded) && !isTimeout(err) {
+				if !isTimeout(err) && !(errors.Is(err, io.EOF) && c.stillListens()) {
 					left(err)
 				}
 				return
@@ -305,6 +307,34 @@
 	}
 }
 
+// listensWithin is how long a client that has ended its sending has to show that it has ended all.
+const listensWithin = 20 * time.Millisecond
+
+// stillListens tells whether a client that has ended its sending wants its answer all the same. Both ends
+// look alike until something is sent: an interim answer is, which one that listens passes over, and which one
+// that has closed resets.
+func (c *Conn) stillListens() bool {
+	raw, ok := c.nc.(syscall.Conn)
+	if !ok || !c.interim {
+		return false
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	c.nc.SetWriteDeadline(time.Now().Add(listensWithin))
+	if _, err := c.counter.Write([]byte(protocol.Continue)); err != nil {
+		return false
+	}
+	time.Sleep(listensWithin)
+	listens := false
+	err = rc.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		listens = err == nil && info.State == unix.BPF_TCP_CLOSE_WAIT
+	})
+	return err == nil && listens
+}
+
 func isTimeout(err error) bool {
 	var t net.Error
 	return errors.As(err, &t) && t.Timeout()
--- a/internal/transport/hand.go
+++ b/internal/transport/hand.go
@@ -71,8 +71,9 @@
 
 type clientKey struct{}
 
-// Detach ends the watch for the client's end on the connection that an invocation came on, and returns its socket with
-// what came early. It is for an answer of protocol.HandedOver. ctx is that of Serve; ok is false for another one.
+// Detach ends the watch for the client's end on the connection that an invocation came on, and returns its
+// socket with what came early. It is for an answer of protocol.HandedOver. ctx is that of Serve; ok is false
+// for another one.
 func Detach(ctx context.Context) (socket syscall.Conn, early []byte, ok bool) {
 	c, ok := ctx.Value(clientKey{}).(*Conn)
 	if !ok || c.Socket() == nil {
@@ -82,11 +83,13 @@
 	return c.Socket(), append([]byte(nil), c.in.Bytes()...), true
 }
 
-// Adopt goes on with a client's connection of a predecessor's: finish answers the invocation that is under way on it, and
-// what came early is read next. closes tells that the client has said that it ends there.
-func (s *Server) Adopt(nc net.Conn, early []byte, closes bool, finish func(context.Context) *protocol.Answer) {
+// Adopt goes on with a client's connection of a predecessor's: finish answers the invocation that is under
+// way on it, and what came early is read next. closes tells that the client has said that it ends there,
+// interim that it takes interim answers.
+func (s *Server) Adopt(nc net.Conn, early []byte, closes, interim bool,
+	finish func(context.Context) *protocol.Answer) {
 	c := newConn(nc, Client, nc.RemoteAddr().String(), s.log, nil)
-	c.counter.ahead = early
+	c.counter.ahead, c.interim = early, interim
 	s.places.admit(c)
 	s.places.turn(c, answering)
 	s.places.prove(c)
@@ -102,8 +105,8 @@
 	})
 }
 
-// Adopt goes on with a predecessor's connection to a worker, on which came has been read since the last message. It has a
-// place of its own in the budget where there is one.
+// Adopt goes on with a predecessor's connection to a worker, on which came has been read since the last
+// message. It has a place of its own in the budget where there is one.
 func (p *Pool) Adopt(nc net.Conn, addr string, came []byte) *Conn {
 	placed := true
 	select {
--- a/internal/transport/places.go
+++ b/internal/transport/places.go
@@ -240,6 +240,13 @@
 	return s.held[c].evicted
 }
 
+// isReading tells whether a message has come in part.
+func (s *places) isReading(c *Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held[c].doing == reading
+}
+
 // retired tells whether idle connections end.
 func (s *places) retired() bool { return !s.drain.At(time.Now()).KeepsIdle() }
 
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -159,6 +159,7 @@
 	if err != nil {
 		return s.unread(c, err)
 	}
+	c.interim = h.Interim()
 	body, err := protocol.AskBody(&h)
 	if err != nil {
 		return s.unread(c, err)
@@ -233,17 +234,18 @@
 func (s *Server) unread(c *Conn, err error) (Reason, error) {
 	why := Blame(err)
 	evicted := why == TooSlow && s.places.isEvicted(c)
+	partly := c.in.Len() > 0 || s.places.isReading(c)
 	switch {
-	case evicted && c.in.Len() > 0:
+	case evicted && partly:
 		if _, sent := s.answer(c, s.handler.Overfull(nil), true); sent == nil {
 			c.linger(crossWithin) // its place is wanted
 		}
 		return OverBudget, nil
 	case evicted:
 		return OverBudget, nil
-	case why == TooSlow && c.in.Len() == 0 && s.drain.At(time.Now()).Last():
+	case why == TooSlow && !partly && s.drain.At(time.Now()).Last():
 		return Ending, nil
-	case why == TooSlow && c.in.Len() == 0:
+	case why == TooSlow && !partly:
 		return IdleRetired, nil
 	case why == Malformed, why == TooSlow:
 		if _, sent := s.answer(c, s.handler.Broken(err), true); sent == nil {
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -18,7 +18,10 @@
 )
 
 // echo answers with the body, or not before its client has left where the path is /wait.
-type echo struct{ left chan error }
+type echo struct {
+	left  chan error
+	after time.Duration // the wait where the path is /later
+}
 
 func (e *echo) Check(h *protocol.Head) *protocol.Answer {
 	if h.Path() == "/none" {
@@ -33,6 +36,13 @@
 		e.left <- context.Cause(ctx)
 		return nil
 	}
+	if h.Path() == "/later" {
+		select {
+		case <-time.After(e.after):
+		case <-ctx.Done():
+			return nil
+		}
+	}
 	return &protocol.Answer{Status: 200, Body: body}
 }
 
@@ -156,6 +166,29 @@
 	assert.ErrorIs(t, <-e.left, errClientLeft)
 }
 
+// Guards against a client whose answer is lost as it has said that it sends nothing more; one that has closed
+// has left.
+func TestClientThatEndsItsSendingStillGetsItsAnswer(t *testing.T) {
+	s, e, _ := serving(t, 4)
+	e.after = 100 * time.Millisecond
+	half, r := connect(t, s)
+	io.WriteString(half, "POST /later HTTP/1.1\r\nContent-Length: 2\r\n\r\nab")
+	assert.NoError(t, half.(*net.TCPConn).CloseWrite())
+	a, err := http.ReadResponse(r, nil) // the standard library passes the interim answer over
+	assert.NoError(t, err)
+	for a.StatusCode == 100 {
+		a, err = http.ReadResponse(r, nil)
+		assert.NoError(t, err)
+	}
+	b, err := io.ReadAll(a.Body)
+	assert.NoError(t, err)
+	assert.Equal(t, []any{200, "ab"}, []any{a.StatusCode, string(b)})
+	old, _ := connect(t, s)
+	io.WriteString(old, "POST /wait HTTP/1.0\r\nContent-Length: 2\r\n\r\nab")
+	assert.NoError(t, old.(*net.TCPConn).CloseWrite())
+	assert.ErrorIs(t, <-e.left, errClientLeft, "it takes no interim answer, so that nothing tells the two apart")
+}
+
 func TestServerBeyondItsBudget(t *testing.T) {
 	s, e, _ := serving(t, 1)
 	busy, _ := connect(t, s)
--- a/internal/upgrade/host.go
+++ b/internal/upgrade/host.go
@@ -31,8 +31,9 @@
 	Log  zerolog.Logger
 }
 
-// Run waits for successors until ctx ends, one at a time: one that fails to start leaves the place to the next. Where no
-// socket can be had, a later process starts without this one's help: that is logged, and is no fault.
+// Run waits for successors until ctx ends, one at a time: one that fails to start leaves the place to the
+// next. Where no socket can be had, a later process starts without this one's help: that is logged, and is no
+// fault.
 func (h *Host) Run(ctx context.Context) error {
 	for ctx.Err() == nil && !h.Ends() {
 		ln, err := h.Place.listen() // anew where a successor that died had taken the place
