What a successor goes on with is not bound by the old process's end

Cause: at SIGTERM attend in program.go bound all that is open, and what still landed, by this process's end before it handed over. Seen as one to three throttled at each old process's exit, with retries (tries a request 1.04). Ruled out: requests turned back at the door (0), invocations cut (0 errored).

Change: with a successor serving, what is under way is handed over first, and only what is left half a second later is bound.

--- a/internal/program/daily_test.go
+++ b/internal/program/daily_test.go
@@ -18,7 +18,8 @@
 )
 
 // settled is a process whose configuration stands in a file, which turn replaces.
-func settled(t *testing.T, wait time.Duration, cores float64) (d *process, url string, turn func(old, with string)) {
+func settled(t *testing.T, wait time.Duration, cores float64) (d *process, url string,
+	turn func(old, with string)) {
 	p, url := placed(t, wait)
 	p.Cores, p.PeerListen = cores, ""
 	path := filepath.Join(t.TempDir(), "config.json")
@@ -35,7 +36,8 @@
 	}
 }
 
-// Guards against settings of which instances have taken different ones, and against a file that is read too early.
+// Guards against settings of which instances have taken different ones, and against a file that is read too
+// early.
 func TestSettingsThatChangeTenTimesInASecondEndAsTheLastFileSays(t *testing.T) {
 	d, url, turn := settled(t, 300*time.Millisecond, 2)
 	open := connected(t, url)
@@ -63,7 +65,8 @@
 	d.end(t)
 }
 
-// Guards against a new process that takes over and then cannot serve, and one that is told of new settings too early.
+// Guards against a new process that takes over and then cannot serve, and one that is told of new settings
+// too early.
 func TestNewProcessThatCannotStartLeavesTheOldOneServing(t *testing.T) {
 	t.Setenv("TMPDIR", t.TempDir())
 	d, url, turn := settled(t, time.Millisecond, 1)
@@ -86,8 +89,8 @@
 	next.end(t)
 }
 
-// Guards against a drain that cuts a long invocation, takes one that was not whole in time, or leaves a client that sent
-// two at once without a word.
+// Guards against a drain that cuts a long invocation, takes one that was not whole in time, or leaves a
+// client that sent two at once without a word.
 func TestWhatIsOnOpenConnectionsWhenTheDispatcherIsEmptied(t *testing.T) {
 	d, url, _ := settled(t, 4*time.Second, 1)
 	long, half, two := connected(t, url), connected(t, url), connected(t, url)
--- a/internal/program/handover.go
+++ b/internal/program/handover.go
@@ -251,11 +251,12 @@
 	debug.SetMemoryLimit(h.room.heap / int64(1+h.twins))
 }
 
-// handAll hands what is under way to the successor that serves, as far as it can be just now.
-func (h *handover) handAll() {
+// handAll hands what is under way to the successor that serves, as far as it can be just now. It returns
+// false where there is none.
+func (h *handover) handAll() bool {
 	l := h.serving()
 	if l == nil {
-		return
+		return false
 	}
 	h.handing.Lock()
 	defer h.handing.Unlock()
@@ -266,6 +267,7 @@
 		}
 		return l.SendOpen(open, sockets)
 	})
+	return true
 }
 
 // adopt goes on with an invocation that the predecessor has handed over.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -139,13 +139,20 @@
 			p = reload(p, anew, desk, router, log)
 		case s := <-heard.end:
 			log.Info().Str("signal", s.String()).Msg("draining")
-			router.Drain(min(p.Longest, longestDrain) + drainMore)
+			within := min(p.Longest, longestDrain) + drainMore
 			desk.drain.End(time.Now())
-			desk.handover.handAll() // before what is left is bound to end with this process
+			// What a successor goes on with is not bound by this process's end; what then is left is.
+			relieved := desk.handover.handAll()
+			if !relieved {
+				router.Drain(within)
+			}
 			select {
 			case <-time.After(acceptFor):
 			case <-failed.Done():
 			}
+			if relieved {
+				router.Drain(within - acceptFor)
+			}
 			stopAccepting()
 			return nil
 		}
