A parked forward is never missed; last hard cases of daily service in tests

Cause: reading the hand-over again: a forward told that it stands still after it had given up the lock (hear in hand.go), so that park could miss it as its wait ran out, and the forward would wait for a word that nobody gives. Change: it tells under the lock. A client that leaves while handing counts as client_left. Tests: that moment; a program without upgrades at the address; a body that ends at the wait and one that never does; a client that leaves while work that may not repeat runs.

--- a/internal/program/daily_test.go
+++ b/internal/program/daily_test.go
@@ -114,6 +114,19 @@
 	d.end(t)
 }
 
+// Guards against a silent second queue beside a program that knows nothing of upgrades: it is told as what it is.
+func TestAnOldProgramWithoutUpgradesIsAFaultThatNamesTheAddress(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	p, _ := placed(t, time.Millisecond)
+	ln, err := net.Listen("tcp", p.Listen)
+	assert.NoError(t, err)
+	defer ln.Close()
+	p.Mgmt = freeAddress(t)
+	err = Run(&p, nil, &signals{}, zerolog.Nop())
+	assert.ErrorIs(t, err, syscall.EADDRINUSE)
+	assert.ErrorContains(t, err, p.Listen)
+}
+
 // Guards against an operators' door that waits behind clients.
 func TestOperatorsAreAnsweredWhileTheClientsSideIsFull(t *testing.T) {
 	d, url, _ := settled(t, time.Millisecond, 1)
--- a/internal/routing/hand.go
+++ b/internal/routing/hand.go
@@ -144,6 +144,7 @@
 	}
 	switch {
 	case ctx.Err() != nil:
+		r.counts.Left.Add(1)
 		return nil
 	case err != nil:
 		r.log.Warn().Err(err).Str("id", c.inv.ID).Msg("not handed over")
@@ -233,8 +234,8 @@
 		}
 		if f.asked {
 			f.asked = false
+			f.parked <- struct{}{} // under the lock: park must not miss it and leave us waiting for its word
 			f.mu.Unlock()
-			f.parked <- struct{}{}
 			if <-f.verdict {
 				return 0, "", body, true, nil
 			}
--- a/internal/routing/hand_test.go
+++ b/internal/routing/hand_test.go
@@ -14,9 +14,11 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 
 	"canvasroute/internal/protocol"
+	"canvasroute/internal/transport"
 )
 
 // Guards against an answer that gets lost because its invocation was about to be handed over: what comes
@@ -138,3 +140,26 @@
 	_, _, err = r.Adopt([]byte(`{`), nil)
 	assert.Error(t, err)
 }
+
+// Guards against a forward that stops at the very moment in which the wait for it runs out: it would wait for
+// a word that nobody gives.
+func TestForwardThatParksAsTheWaitRunsOutIsParked(t *testing.T) {
+	p := &passage{parked: make(chan struct{}, 1), verdict: make(chan bool, 1), gone: make(chan struct{})}
+	a, b := net.Pipe()
+	defer b.Close()
+	p.conn = transport.NewPool(1, time.Minute, zerolog.Nop()).Adopt(a, "", nil)
+	parks := make(chan bool)
+	go func() { parks <- p.park() }()
+	asked := func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.asked
+	}
+	assert.Eventually(t, asked, time.Second, time.Millisecond)
+	p.mu.Lock() // as hear does, while the wait runs out
+	time.Sleep(2 * parkWithin)
+	p.asked = false
+	p.parked <- struct{}{}
+	p.mu.Unlock()
+	assert.True(t, <-parks)
+}
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -86,14 +86,17 @@
 }
 
 func TestClientThatLeavesGetsNoAnswer(t *testing.T) {
-	ctx, leave := context.WithCancel(context.Background())
-	r := routerTo(standIn(t, func(c net.Conn, _ *http.Request) {
-		leave()
-		c.Read(make([]byte, 1))
-	}))
-	assert.Nil(t, r.Serve(ctx, invocation("idem"), nil, time.Now()))
-	r.forwards.Wait()
-	assert.Equal(t, 0, r.facade.Open())
+	for _, operation := range []string{"idem", "once"} { // also where it may have run: nobody is there to be told
+		ctx, leave := context.WithCancel(context.Background())
+		r := routerTo(standIn(t, func(c net.Conn, _ *http.Request) {
+			leave()
+			c.Read(make([]byte, 1))
+		}))
+		assert.Nil(t, r.Serve(ctx, invocation(operation), nil, time.Now()))
+		r.forwards.Wait()
+		assert.Equal(t, 0, r.facade.Open())
+		assert.Equal(t, int64(1), r.counts.Sent.Load(), "it is not sent again")
+	}
 }
 
 func TestWorkerThatBreaksEndsANonIdempotentInvocationAsErrored(t *testing.T) {
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -271,6 +271,21 @@
 	assert.InDelta(t, firstWithin.Seconds(), time.Since(began).Seconds(), 0.5)
 }
 
+// Guards against a body that is taken before its last byte, and one that is turned away though it came in time.
+func TestBodyThatEndsAtTheWaitIsTaken(t *testing.T) {
+	s, _, _ := serving(t, 4)
+	c, r := connect(t, s)
+	never, r2 := connect(t, s)
+	for _, half := range []net.Conn{c, never} {
+		io.WriteString(half, strings.TrimSuffix(post, "b"))
+	}
+	time.Sleep(firstWithin - 100*time.Millisecond)
+	status, body, _ := ask(t, c, r, "b")
+	assert.Equal(t, []any{200, "ab"}, []any{status, body})
+	status, _, closes := ask(t, never, r2, "")
+	assert.Equal(t, []any{408, true}, []any{status, closes})
+}
+
 // Guards against a flood that keeps usual clients out: those of use stay, and new ones get in.
 func TestSilentConnectionsKeepNoOtherOut(t *testing.T) {
 	s, _, _ := serving(t, 8)
