--- a/internal/program/daily_test.go
+++ b/internal/program/daily_test.go
@@ -114,7 +114,8 @@
 	d.end(t)
 }
 
-// Guards against a silent second queue beside a program that knows nothing of upgrades: it is told as what it is.
+// Guards against a silent second queue beside a program that knows nothing of upgrades: it is told as what it
+// is.
 func TestAnOldProgramWithoutUpgradesIsAFaultThatNamesTheAddress(t *testing.T) {
 	t.Setenv("TMPDIR", t.TempDir())
 	p, _ := placed(t, time.Millisecond)
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -86,7 +86,7 @@
 }
 
 func TestClientThatLeavesGetsNoAnswer(t *testing.T) {
-	for _, operation := range []string{"idem", "once"} { // also where it may have run: nobody is there to be told
+	for _, operation := range []string{"idem", "once"} { // also where it may have run
 		ctx, leave := context.WithCancel(context.Background())
 		r := routerTo(standIn(t, func(c net.Conn, _ *http.Request) {
 			leave()
@@ -259,6 +259,11 @@
 	assert.Equal(t, int64(7), r.fleet.listVersion(), "the next watch tells all of it again")
 	assert.Equal(t, protocol.Terminating, r.fleet.workers[0].entry.State)
 	assert.Len(t, r.fleet.workers, 1, "nothing is taken of what is not whole")
+	r, err = watched(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n400\r\n"+
+		`{"seq":9,"whole":true,"hosts":[{"host":"w","health":"Terminating"},{"ho`, false)
+	assert.Contains(t, err, "timeout", "one that stalls half-way through a list is given up")
+	assert.Equal(t, protocol.Terminating, r.fleet.workers[0].entry.State)
+	assert.Equal(t, int64(7), r.fleet.listVersion())
 }
 
 func TestSilentWatchIsGivenUp(t *testing.T) {
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -271,7 +271,8 @@
 	assert.InDelta(t, firstWithin.Seconds(), time.Since(began).Seconds(), 0.5)
 }
 
-// Guards against a body that is taken before its last byte, and one that is turned away though it came in time.
+// Guards against a body that is taken before its last byte, and one that is turned away though it came in
+// time.
 func TestBodyThatEndsAtTheWaitIsTaken(t *testing.T) {
 	s, _, _ := serving(t, 4)
 	c, r := connect(t, s)
