Upgrade tests: the old process killed outright, and no meeting place for the two

Change: real processes in internal/lab/command: the old one is killed, health says yes twenty times over, a third one takes over from the second. In internal/program: without a directory for the meeting place both listen with SO_REUSEPORT and nothing is refused after the old one's drain.

--- a/internal/lab/command/lab_test.go
+++ b/internal/lab/command/lab_test.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -267,3 +269,60 @@
 	assert.Equal(t, 2, r.Dispatchers[0].Lives)
 	assert.Greater(t, float64(r.Calls.Total.Answers["succeeded"]), 0.95*float64(r.Planned))
 }
+
+// Guards against an upgrade in which the old process is killed: the new one has the listener, and goes on alone.
+func TestNewProcessOfAnUpgradeOutlivesAKilledOldOne(t *testing.T) {
+	dir, self := t.TempDir(), os.Args[0]
+	free := func() string {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NoError(t, err)
+		defer ln.Close()
+		return ln.Addr().String()
+	}
+	listen, path := free(), filepath.Join(dir, "c.json")
+	assert.NoError(t, os.WriteFile(path, fmt.Appendf(nil, `{"name":"n","listen":%q,"discovery":"127.0.0.1:9",
+"seed":"1",
+"known":{"seq":1,"whole":true,"hosts":[{"host":"w","dial":"127.0.0.1:9","health":"Ready"}]},
+"settings":{"balancers":1,"policyLimits":{"maxForwards":1},
+"operations":[{"name":"a","repeat":"idempotent"}]}}`, listen),
+		0o600))
+	says := func(mgmt, want string) {
+		assert.Eventually(t, func() bool {
+			c, err := net.Dial("tcp", mgmt)
+			if err != nil {
+				return false
+			}
+			defer c.Close()
+			fmt.Fprintln(c, "HEALTH")
+			b, _ := io.ReadAll(c)
+			return strings.HasPrefix(string(b), want)
+		}, 5*time.Second, 5*time.Millisecond, want)
+	}
+	start := func() (cmd *exec.Cmd, mgmt string) {
+		mgmt = free()
+		cmd = exec.Command(self)
+		cmd.Env = append(os.Environ(), "LB_CONFIG="+path, "LB_MGMT="+mgmt, "TMPDIR="+dir)
+		assert.NoError(t, cmd.Start())
+		t.Cleanup(func() { cmd.Process.Kill() })
+		says(mgmt, "done")
+		return cmd, mgmt
+	}
+	old, first := start()
+	next, second := start()
+	says(first, "error takes no clients: relieved")
+	assert.NoError(t, old.Process.Kill())
+	old.Wait()
+	for range 20 {
+		a, err := http.Get("http://" + listen + "/_health")
+		if assert.NoError(t, err) {
+			a.Body.Close()
+			assert.Equal(t, 200, a.StatusCode)
+		}
+	}
+	third, _ := start()
+	says(second, "error takes no clients: relieved")
+	for _, cmd := range []*exec.Cmd{next, third} {
+		assert.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+		assert.NoError(t, cmd.Wait())
+	}
+}
--- a/internal/program/handover_test.go
+++ b/internal/program/handover_test.go
@@ -1,8 +1,10 @@
 package program
 
 import (
+	"fmt"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -161,3 +163,20 @@
 	old.end(t)
 	next.end(t)
 }
+
+// Guards against a platform without Unix sockets: both processes listen, and the old one drains as at any end.
+func TestWithoutAMeetingPlaceBothProcessesListen(t *testing.T) {
+	t.Setenv("TMPDIR", filepath.Join(t.TempDir(), "none"))
+	p, url := placed(t, time.Millisecond)
+	old, next := begun(t, p), begun(t, p)
+	assert.Contains(t, next.log.String(), "no successor can take over from here")
+	old.says(t, "HEALTH", "done\n")
+	old.end(t)
+	for n := range 8 {
+		c := connected(t, url)
+		c.asks(fmt.Sprint("a", n))
+		status, _, _ := c.hears(t)
+		assert.Equal(t, 200, status)
+	}
+	next.end(t)
+}
