Number a handed-over operation alike at all instances of the module

Cause, found in reading: Instances.Adopt let one instance alone number an operation that its terms do not have (generation in retune.go), while Retune returns one set of numbers for all. Change: all instances number it, under one lock with Retune. generation takes the name from the operation; the turn among instances is told in one place, for Land and Adopt. With one instance the numbers are as before.

--- a/decide/hand.go
+++ b/decide/hand.go
@@ -82,8 +82,7 @@
 
 func (d *Dispatcher) adopt(inv Inv, a Adopted) {
 	d.invs = append(d.invs, make([]invocation, max(0, int(inv)+1-len(d.invs)))...)
-	op := d.generation(a.Name, operation{name: a.Name, objective: a.Objective, window: a.Window,
-		comeBack: a.ComeBack, value: a.Value, slack: a.Slack, repeat: a.Repeat, scope: a.Scope, kind: a.Kind})
+	op := d.generation(a.operation())
 	grace := Time(time.Until(a.Until) / (time.Second / Second))
 	i := &d.invs[inv]
 	*i = invocation{op: op, timeout: d.now + grace - d.margin, latest: a.Latest, size: a.Size, counts: a.Counts,
@@ -111,7 +110,19 @@
 	d.room, d.sweepAt = true, min(d.sweepAt, d.now+d.patience, i.timeout)
 }
 
-// Adopt goes on with an invocation that another process has handed over, each instance in turn.
+// operation is the one that it landed with.
+func (a *Adopted) operation() operation {
+	return operation{name: a.Name, objective: a.Objective, window: a.Window, comeBack: a.ComeBack, value: a.Value,
+		slack: a.Slack, repeat: a.Repeat, scope: a.Scope, kind: a.Kind}
+}
+
+// Adopt goes on with an invocation that another process has handed over, each instance in turn. All of them
+// number its operation: else the next terms would have other numbers at one than at another.
 func (s *Instances) Adopt(a Adopted) (*Ticket, []context.Context) {
-	return s.each[int(s.turn.Add(1))%len(s.each)].Adopt(a)
+	s.numbering.Lock()
+	defer s.numbering.Unlock()
+	for _, f := range s.each {
+		f.with(func(d *Dispatcher) { d.generation(a.operation()) })
+	}
+	return s.next().Adopt(a)
 }
--- a/decide/hand_test.go
+++ b/decide/hand_test.go
@@ -54,6 +54,20 @@
 	}
 }
 
+// Guards against an operation that has another number at one instance than at the others, once new terms
+// come: what lands there would be repeated, or not, as another one.
+func TestAllInstancesNumberWhatIsHandedOverAlike(t *testing.T) {
+	now := Time(100 * Second)
+	s := NewInstances(namedTerms(), 2, 1, func() Time { return now }, func(string) {})
+	s.Adopt(Adopted{Name: "foreign", Repeat: NonIdempotent, Until: time.Now().Add(time.Second)})
+	terms := namedTerms()
+	terms.Operations = append(terms.Operations, OperationTerms{Name: "fresh", Objective: Second, Kind: -1})
+	numbers := s.Retune(terms)
+	for _, f := range s.each {
+		assert.Equal(t, "fresh", f.d.ops[numbers[len(numbers)-1]].name)
+	}
+}
+
 func TestWhatWaitsForAWorkerIsHandedOverToo(t *testing.T) {
 	old, _ := facadeOf(namedTerms(), 0)
 	a, ok := old.Land(Landing{Grace: 3 * Second}).Hand(0)
--- a/decide/instances.go
+++ b/decide/instances.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"sync/atomic"
 )
 
@@ -16,6 +17,8 @@
 	first   Peer // the number of our first one
 	outside bool // whether other processes may be told
 	turn    atomic.Uint32
+
+	numbering sync.Mutex // operations are numbered at all of them alike
 }
 
 // NewInstances makes n of them for a process that the terms describe: Dispatchers and Position count
@@ -43,10 +46,15 @@
 
 // Land takes an invocation in, each instance in turn. Its holder has to Pick until an answer comes.
 func (s *Instances) Land(l Landing) *Ticket {
+	return s.next().Land(l)
+}
+
+// next is the instance whose turn it is.
+func (s *Instances) next() *Facade {
 	if len(s.each) == 1 {
-		return s.each[0].Land(l)
+		return s.each[0]
 	}
-	return s.each[s.turn.Add(1)%uint32(len(s.each))].Land(l)
+	return s.each[s.turn.Add(1)%uint32(len(s.each))]
 }
 
 // Tick blocks until ctx ends, and goes through the rules of an instance whenever one comes due by time alone.
--- a/decide/retune.go
+++ b/decide/retune.go
@@ -13,8 +13,8 @@
 func (d *Dispatcher) Retune(t Terms) (numbers []Operation) {
 	t.Dispatchers, t.Position, t.Peers = d.dispatchers, d.position, d.peers
 	fresh := New(t, d.seed, d.link)
-	for n, o := range t.Operations {
-		numbers = append(numbers, d.generation(o.Name, fresh.ops[n]))
+	for n := range t.Operations {
+		numbers = append(numbers, d.generation(fresh.ops[n]))
 	}
 	used, at := fresh.used, fresh.usedAt
 	for n, c := range t.Customers {
@@ -46,13 +46,13 @@
 	return numbers
 }
 
-// generation finds the number of an operation of that name with the same terms, or gives it one. Numbers are
+// generation finds the number of an operation of its name with the same terms, or gives it one. Numbers are
 // not used again: an invocation may be open under an old one, and the same calls give every instance the same
 // numbers.
-func (d *Dispatcher) generation(name string, o operation) Operation {
+func (d *Dispatcher) generation(o operation) Operation {
 	latest := -1
 	for n := range d.ops {
-		if d.ops[n].name != name {
+		if d.ops[n].name != o.name {
 			continue
 		}
 		if d.ops[n].sameTerms(&o) {
@@ -82,6 +82,8 @@
 
 // Retune takes new terms at all instances. The terms count processes, as those of the start did.
 func (s *Instances) Retune(t Terms) (numbers []Operation) {
+	s.numbering.Lock()
+	defer s.numbering.Unlock()
 	for _, f := range s.each {
 		numbers = f.Retune(t)
 	}
