Simpler hand-over: one send with sockets, one count of a taken invocation, one entry a worker

Need: the whole change of daily service read once more for what it wrote twice or keeps twice. Change, behaviour as before but where said: - upgrade: a message's sockets are named and bounded in send alone, values are encoded in one place; Host.Legacy cannot fail. - routing: counted does for Serve and for what a predecessor hands over what both did; a worker's address and whether it is gone are read from its entry, no longer kept beside it. - transport: the drain's state is asked after an accept that was ended, and no longer twice for every connection. - program: the predecessor's goroutine is owned; whether a successor serves is asked of its link (where nothing is accepted any more, a successor that begins to serve no longer narrows this process's connections, which are all ending); no second names of sockets. - operate: the standard library's error for a wait that ran out, in place of a copy of transport's check. - lab: ask returns no argument of its own; a time-out is released by context.AfterFunc.

Left: the three loops that accept, warn and wait (transport, operate, upgrade) differ in all else.

--- a/internal/lab/experiment/operators.go
+++ b/internal/lab/experiment/operators.go
@@ -166,10 +166,7 @@
 			every = 100 * time.Millisecond
 		}
 		sitting, stop := context.WithTimeout(ctx, a.Span)
-		w.during.Go(func() {
-			<-sitting.Done()
-			stop()
-		})
+		context.AfterFunc(sitting, stop)
 		w.crowd(sitting, int(a.Figure), every)
 	}
 }
--- a/internal/lab/sender/front.go
+++ b/internal/lab/sender/front.go
@@ -57,7 +57,8 @@
 	for n := range f.addresses {
 		asking.Go(func() {
 			for ctx.Err() == nil {
-				f.healthy(f.ask(ctx, n))
+				yes, no := f.ask(ctx, n)
+				f.healthy(n, yes, no)
 				select {
 				case <-time.After(askEvery):
 				case <-ctx.Done():
@@ -76,19 +77,19 @@
 }
 
 // ask tells whether a dispatcher says yes, or says no in so many words.
-func (f *Front) ask(ctx context.Context, n int) (at int, yes, no bool) {
+func (f *Front) ask(ctx context.Context, n int) (yes, no bool) {
 	ctx, cancel := context.WithTimeout(ctx, askWithin)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.addresses[n]+"/_health", nil)
 	if err != nil {
-		return n, false, false
+		return false, false
 	}
 	a, err := f.health.Do(r)
 	if err != nil {
-		return n, false, false
+		return false, false
 	}
 	a.Body.Close()
-	return n, a.StatusCode == http.StatusOK, a.StatusCode != http.StatusOK
+	return a.StatusCode == http.StatusOK, a.StatusCode != http.StatusOK
 }
 
 func (f *Front) healthy(n int, good, no bool) {
--- a/internal/operate/door.go
+++ b/internal/operate/door.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -214,7 +215,7 @@
 		switch {
 		case whole:
 			return call, wrong
-		case errors.Is(err, context.DeadlineExceeded) || isTimeout(err):
+		case errors.Is(err, os.ErrDeadlineExceeded):
 			return "", errSilent
 		case err != nil:
 			return "", errCut
@@ -222,11 +223,6 @@
 	}
 }
 
-func isTimeout(err error) bool {
-	var t net.Error
-	return errors.As(err, &t) && t.Timeout()
-}
-
 func (d *Door) do(call protocol.Call, err error) []byte {
 	if err == nil {
 		switch call {
--- a/internal/program/handover.go
+++ b/internal/program/handover.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"canvasroute/decide"
 	"canvasroute/internal/drain"
@@ -25,12 +26,6 @@
 // tellEvery is how often the two processes of an upgrade tell each other what is out.
 const tellEvery = 50 * time.Millisecond
 
-// The names of the sockets that are handed over.
-const (
-	clientsSocket = upgrade.Clients
-	peersSocket   = upgrade.Peers
-)
-
 // handover is what a process does while another one of the same dispatcher is there: the one before it, or
 // the one after it. Both share one listener's queue and one socket for datagrams, count what the other has
 // out as theirs, and keep within the limits together.
@@ -93,13 +88,18 @@
 
 // run waits for a successor, and meanwhile sees the predecessor off.
 func (h *handover) run(ctx context.Context) error {
-	if h.heir != nil {
-		go h.follow(ctx) // ends with the link, which ends with ctx
-	}
 	host := upgrade.Host{Place: h.place, Log: h.log, Sockets: h.sockets, Meet: h.relieve,
-		Legacy: func() (any, error) { return h.router.Legacy(), nil },
+		Legacy: func() any { return h.router.Legacy() },
 		Ends:   func() bool { return h.state.At(time.Now()).Ends() }}
-	return host.Run(ctx)
+	var both errgroup.Group
+	both.Go(func() error { return host.Run(ctx) })
+	if h.heir != nil {
+		both.Go(func() error {
+			h.follow(ctx)
+			return nil
+		})
+	}
+	return both.Wait()
 }
 
 func (h *handover) sockets() []upgrade.Socket {
@@ -150,15 +150,11 @@
 	h.share(1)
 	clients, workers := h.server.Held(), h.pool.Held()
 	clients, workers = (clients+h.room.clients)/2, (workers+h.room.workers)/2 // half of what is free
-	serves := false
-	var mu sync.Mutex
 	stop := h.tell(ctx, l, func() routing.Twin {
-		mu.Lock()
-		defer mu.Unlock()
 		if h.state.At(time.Now()).Ends() {
 			h.handAll()
 		}
-		if serves {
+		if h.serving() != nil {
 			clients, workers = min(clients, h.server.Held()), min(workers, h.pool.Held()+1)
 		}
 		h.bound(clients, workers)
@@ -168,12 +164,7 @@
 	})
 	defer stop()
 	err := l.Follow(upgrade.Events{
-		Serving: func() {
-			mu.Lock()
-			serves = true
-			mu.Unlock()
-			h.serves(l)
-		},
+		Serving: func() { h.serves(l) },
 		Twin: func(b json.RawMessage) {
 			if t, ok := h.twin(b); ok {
 				h.router.Meet(decide.Successor, t)
@@ -261,7 +252,7 @@
 	h.handing.Lock()
 	defer h.handing.Unlock()
 	h.router.HandAll(func(open *routing.Handed, client syscall.Conn, forwards map[int]syscall.Conn) error {
-		sockets := []upgrade.Socket{{Name: clientsSocket, Conn: client}}
+		sockets := []upgrade.Socket{{Name: upgrade.Clients, Conn: client}}
 		for n, c := range forwards {
 			sockets = append(sockets, upgrade.Socket{Name: strconv.Itoa(n), Conn: c})
 		}
--- a/internal/program/keys.go
+++ b/internal/program/keys.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"strings"
 
 	"github.com/valyala/fastjson"
 )
@@ -82,6 +81,6 @@
 func (r *reader) positive(v *fastjson.Value, key string) {
 	n, err := v.Float64()
 	if err != nil || !(n > 0 && n <= math.MaxInt32) {
-		r.wrong(key, "%s, must be a positive number", strings.TrimSpace(v.String()))
+		r.wrong(key, "%s, must be a positive number", v)
 	}
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -17,6 +17,7 @@
 	"canvasroute/internal/drain"
 	"canvasroute/internal/routing"
 	"canvasroute/internal/transport"
+	"canvasroute/internal/upgrade"
 )
 
 // Bounds on the end.
@@ -61,25 +62,25 @@
 		func(line string) { log.Warn().Msg(line) })
 
 	pool := transport.NewPool(room.workers, p.Idle, log)
-	upgrade := meet(p, log)
-	defer upgrade.close()
-	p.Routing.Legacy, p.Routing.Hands = upgrade.legacy(), upgrade != nil
-	datagrams, err := peerSocket(p, upgrade)
+	both := meet(p, log)
+	defer both.close()
+	p.Routing.Legacy, p.Routing.Hands = both.legacy(), both != nil
+	datagrams, err := peerSocket(p, both)
 	if err != nil {
 		return err
 	}
 	state := &drain.State{}
 	router := routing.New(p.Routing, facade, pool, datagrams, state, log)
-	ln, err := transport.ListenClients(p.Listen, upgrade.socket(clientsSocket), upgrade != nil)
+	ln, err := transport.ListenClients(p.Listen, both.socket(upgrade.Clients), both != nil)
 	if err != nil {
 		return err
 	}
 	server := transport.NewServer(ln, room.clients, room.bodies, router, state, log)
-	if upgrade != nil {
-		upgrade.room, upgrade.state, upgrade.router, upgrade.server = room, state, router, server
-		upgrade.pool, upgrade.listener, upgrade.datagrams = pool, ln, datagrams
+	if both != nil {
+		both.room, both.state, both.router, both.server = room, state, router, server
+		both.pool, both.listener, both.datagrams = pool, ln, datagrams
 	}
-	desk := &desk{router: router, drain: state, handover: upgrade, log: log}
+	desk := &desk{router: router, drain: state, handover: both, log: log}
 	door, err := desk.open(p.Mgmt)
 	if err != nil {
 		return err
@@ -101,7 +102,7 @@
 	g.Go(func() error { return server.Follow(working) })
 	if door != nil {
 		g.Go(func() error { return door.Run(working) })
-		g.Go(func() error { return upgrade.run(working) })
+		g.Go(func() error { return both.run(working) })
 	}
 	g.Go(func() error {
 		return attend(heard, failed, working, p, anew, desk, router, stopAccepting, log)
@@ -111,7 +112,7 @@
 	return err
 }
 
-func peerSocket(p *Placement, upgrade *handover) (*transport.Datagrams, error) {
+func peerSocket(p *Placement, both *handover) (*transport.Datagrams, error) {
 	if !p.Decisions.Peers {
 		return nil, nil
 	}
@@ -119,7 +120,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	return transport.ListenDatagrams(addr, upgrade.socket(peersSocket), upgrade != nil)
+	return transport.ListenDatagrams(addr, both.socket(upgrade.Peers), both != nil)
 }
 
 // attend answers signals: counters on SIGUSR1, the configuration anew on SIGHUP, and the drain on SIGTERM or
--- a/internal/routing/fleet.go
+++ b/internal/routing/fleet.go
@@ -27,13 +27,13 @@
 }
 
 type worker struct {
-	address string
-	tag     uint16
-	born    decide.Time
-	gone    bool
-	entry   protocol.Entry // as last told
+	tag   uint16
+	born  decide.Time
+	entry protocol.Entry // as last told, with the last address
 }
 
+func (w *worker) gone() bool { return w.entry.State == protocol.Gone }
+
 var listed = map[string]decide.State{protocol.Ready: decide.Healthy, protocol.Terminating: decide.Draining,
 	protocol.Gone: decide.Gone}
 
@@ -63,20 +63,19 @@
 		}
 		seen[n] = true
 		w, state, was := &f.workers[n], listed[e.State], f.workers[n]
-		if w.gone = state == decide.Gone; e.Address != "" {
-			w.address = e.Address
+		if e.Address == "" {
+			e.Address = was.entry.Address
 		}
 		w.entry = e
-		w.entry.Address = w.address
 		if e.BornMs > 0 {
 			w.born = max(w.born, f.clock(e.BornMs))
 		}
 		switch {
-		case was.address == "":
+		case was.entry.Address == "":
 		case w.born > was.born:
-			old = append(old, stale{was.address, time.UnixMilli(int64(e.BornMs))})
-		case state != decide.Healthy || w.address != was.address:
-			old = append(old, stale{address: was.address})
+			old = append(old, stale{was.entry.Address, time.UnixMilli(int64(e.BornMs))})
+		case state != decide.Healthy || e.Address != was.entry.Address:
+			old = append(old, stale{address: was.entry.Address})
 		}
 		if _, known := f.zones[e.Zone]; !known { // not one of those in the settings, nor like any other
 			f.zones[e.Zone] = len(f.zones)
@@ -85,8 +84,8 @@
 			Kind: decide.Kind(f.kinds[e.Kind]), Cell: decide.Cell(e.Cell), State: state, Born: w.born})
 	}
 	for n := range f.workers {
-		if w := &f.workers[n]; l.Whole && !seen[decide.Worker(n)] && !w.gone {
-			w.gone, old = true, append(old, stale{address: w.address})
+		if w := &f.workers[n]; l.Whole && !seen[decide.Worker(n)] && !w.gone() {
+			old = append(old, stale{address: w.entry.Address})
 			w.entry.State = protocol.Gone
 		}
 	}
@@ -96,7 +95,7 @@
 func (f *fleet) address(w decide.Worker) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.workers[w].address
+	return f.workers[w].entry.Address
 }
 
 func (f *fleet) tag(w decide.Worker) uint16 {
@@ -130,7 +129,7 @@
 func (f *fleet) serves() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.ContainsFunc(f.workers, func(w worker) bool { return !w.gone })
+	return slices.ContainsFunc(f.workers, func(w worker) bool { return !w.gone() })
 }
 
 func (f *fleet) listVersion() int64 {
--- a/internal/routing/hand.go
+++ b/internal/routing/hand.go
@@ -266,18 +266,16 @@
 		}
 		h.Decided.Forwards[n].Tgt = w
 	}
-	return h, func(ctx context.Context) *protocol.Answer { return r.goOn(ctx, h, forwards) }, nil
+	r.tally.name(h.Invocation.Operation)
+	return h, func(ctx context.Context) *protocol.Answer {
+		return r.counted(h.Invocation.Operation, func() *protocol.Answer { return r.goOn(ctx, h, forwards) })
+	}, nil
 }
 
 func (r *Router) goOn(ctx context.Context, h *Handed, forwards map[int]net.Conn) *protocol.Answer {
 	inv := h.Invocation
 	r.ids.take(inv.ID)
 	defer r.ids.close(inv.ID)
-	r.tally.name(inv.Operation)
-	ends := r.tally.of(inv.Operation)
-	ends.out.Add(1)
-	defer ends.out.Add(-1)
-	r.counts.Taken.Add(1)
 	ticket, contexts := r.facade.Adopt(h.Decided)
 	c := &carrying{inv: inv, ticket: ticket, until: h.Decided.Until, closes: h.Closes,
 		interim: h.Interim}
@@ -293,7 +291,5 @@
 			return nil
 		})
 	}
-	a := r.pursue(ctx, c, result)
-	ends.end(a)
-	return a
+	return r.pursue(ctx, c, result)
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -239,18 +239,12 @@
 	}
 	defer r.ids.close(inv.ID)
 	inv.Body = body
-	ends := r.tally.of(inv.Operation)
-	ends.out.Add(1)
-	defer ends.out.Add(-1)
-	a := r.carry(ctx, inv, l, came, h)
-	ends.end(a)
-	return a
+	return r.counted(inv.Operation, func() *protocol.Answer { return r.carry(ctx, inv, l, came, h) })
 }
 
 // carry brings an invocation that was taken to its answer, nil where its client has left.
 func (r *Router) carry(ctx context.Context, inv *protocol.Invocation, l decide.Landing,
 	came time.Time, h *protocol.Head) *protocol.Answer {
-	r.counts.Taken.Add(1)
 	phase := r.drain.At(time.Now())
 	cut := phase.Ends() && phase != drain.Yielding // what is under way ends with this process
 	if !phase.Admits() || cut && r.facade.Late(l) {
--- a/internal/routing/tally.go
+++ b/internal/routing/tally.go
@@ -34,6 +34,18 @@
 	}
 }
 
+// counted brings an invocation that was taken to its answer, and counts it until then, and as what it ends
+// as.
+func (r *Router) counted(operation string, carry func() *protocol.Answer) *protocol.Answer {
+	r.counts.Taken.Add(1)
+	ends := r.tally.of(operation)
+	ends.out.Add(1)
+	defer ends.out.Add(-1)
+	a := carry()
+	ends.end(a)
+	return a
+}
+
 // name begins the counts of an operation, or goes on with them.
 func (t *tally) name(operation string) {
 	t.mu.Lock()
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -66,13 +66,16 @@
 func (s *Server) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { s.ln.Close() })
 	defer stop()
-	for s.accepting(ctx) {
+	for {
 		s.places.wait(ctx)
 		nc, err := s.ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			break
 		}
-		if isTimeout(err) { // a successor may accept in our place
+		if isTimeout(err) { // Follow has ended the wait: a successor accepts in our place
+			if !s.accepting(ctx) {
+				break
+			}
 			continue
 		}
 		if err != nil { // descriptors ran out: wait for some to come free
--- a/internal/upgrade/host.go
+++ b/internal/upgrade/host.go
@@ -23,7 +23,7 @@
 type Host struct {
 	Place   Place
 	Sockets func() []Socket
-	Legacy  func() (any, error)
+	Legacy  func() any
 	// Meet is called with each successor that has been handed everything; it returns at the link's end, which
 	// it has to bring about when ctx ends.
 	Meet func(ctx context.Context, l *Link)
@@ -82,20 +82,11 @@
 		return fmt.Errorf("%w: version %d", ErrForeign, m.Version)
 	}
 	c.SetReadDeadline(time.Time{})
-	legacy, err := h.Legacy()
+	legacy, err := encoded(h.Legacy())
 	if err != nil {
 		return err
 	}
-	b, err := json.Marshal(legacy)
-	if err != nil {
-		return fmt.Errorf("hand-over: %w", err)
-	}
-	answer := message{Version: version, Legacy: b}
-	var conns []syscall.Conn
-	for _, s := range h.Sockets() {
-		answer.Sockets, conns = append(answer.Sockets, s.Name), append(conns, s.Conn)
-	}
-	if err := l.send(answer, conns...); err != nil {
+	if err := l.send(message{Version: version, Legacy: legacy}, h.Sockets()...); err != nil {
 		return err
 	}
 	h.Meet(ctx, l)
--- a/internal/upgrade/link.go
+++ b/internal/upgrade/link.go
@@ -8,7 +8,6 @@
 	"net"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -67,8 +66,14 @@
 	return n, err
 }
 
-// send sends a message with descriptors of sockets, which stay open here too.
-func (l *Link) send(m message, sockets ...syscall.Conn) error {
+// send sends a message with sockets, which stay open here too.
+func (l *Link) send(m message, sockets ...Socket) error {
+	if len(sockets) > mostSockets {
+		return fmt.Errorf("hand-over: %d sockets, there may be %d", len(sockets), mostSockets)
+	}
+	for _, s := range sockets {
+		m.Sockets = append(m.Sockets, s.Name)
+	}
 	b, err := json.Marshal(m)
 	if err != nil {
 		return fmt.Errorf("hand-over: %w", err)
@@ -93,11 +98,11 @@
 }
 
 // controlled calls do while each socket's descriptor, in fds, is sure to stay what it is.
-func controlled(sockets []syscall.Conn, fds []int, do func() error) (err error) {
+func controlled(sockets []Socket, fds []int, do func() error) (err error) {
 	if len(sockets) == 0 {
 		return do()
 	}
-	raw, err := sockets[0].SyscallConn()
+	raw, err := sockets[0].Conn.SyscallConn()
 	if err != nil {
 		return fmt.Errorf("hand-over: %w", err)
 	}
@@ -141,9 +146,9 @@
 
 // SendTwin tells the other process what is out here.
 func (l *Link) SendTwin(v any) error {
-	b, err := json.Marshal(v)
+	b, err := encoded(v)
 	if err != nil {
-		return fmt.Errorf("hand-over: %w", err)
+		return err
 	}
 	return l.send(message{Twin: b})
 }
@@ -156,19 +161,19 @@
 
 // SendOpen hands over one invocation that is open, with its sockets.
 func (l *Link) SendOpen(v any, sockets []Socket) error {
-	b, err := json.Marshal(v)
+	b, err := encoded(v)
 	if err != nil {
-		return fmt.Errorf("hand-over: %w", err)
+		return err
 	}
-	m := message{Open: b}
-	var conns []syscall.Conn
-	for _, s := range sockets {
-		m.Sockets, conns = append(m.Sockets, s.Name), append(conns, s.Conn)
-	}
-	if len(conns) > mostSockets {
-		return fmt.Errorf("hand-over: %d sockets, there may be %d", len(conns), mostSockets)
+	return l.send(message{Open: b}, sockets...)
+}
+
+func encoded(v any) (json.RawMessage, error) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("hand-over: %w", err)
 	}
-	return l.send(m, conns...)
+	return b, nil
 }
 
 // Events are what a link brings. Each may be nil.
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -22,7 +22,7 @@
 	ln = listener.(*net.TCPListener)
 	h := Host{Place: p, Log: zerolog.Nop(), Ends: func() bool { return false },
 		Sockets: func() []Socket { return []Socket{{Clients, ln}} },
-		Legacy:  func() (any, error) { return "known", nil },
+		Legacy:  func() any { return "known" },
 		Meet: func(ctx context.Context, l *Link) {
 			defer context.AfterFunc(ctx, l.Close)()
 			met <- l
