A disk that hangs holds up its keys alone, and the end of a process not for long

Seen: the 16 plays do some thousand syncs a second on one virtual disk, which then takes up to 5 s for one. Kernel stacks of dispatchers that did not end: one thread each in submit_bio_wait or __sync_dirty_buffer, all others idle, CPUs idle. Ruled out: a loop, load, a lock of the sockets, ports (no log tells of one in use).

Cause: Node.tick called Store.Kept, which waits for the store's writer, under the node's lock, which each landing, message and operator needs; Node.Run waited for the last writes without limit; Node.begin shared its life with a write that had passed its limit (a race, found by -race).

Change: Kept is told without the writers' lock; the end waits identity-within at most; the life of a late write is left alone. Lab: ports are dealt out in a ring (two plays of one process could be dealt the same one), and a start that is tried again no longer races with the networks of the first.

--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -199,8 +199,26 @@
 
 func (n *Node) now() time.Duration { return time.Since(n.began) }
 
-// Run brings the dispatcher back and keeps its state until ctx ends.
+// Run brings the dispatcher back and keeps its state until ctx ends, and little longer: a process whose disk hangs
+// would be killed by its operators, and is taken for one that crashed either way.
 func (n *Node) Run(ctx context.Context) error {
+	ended := make(chan error, 1)
+	go func() { ended <- n.run(ctx) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(n.settings.Recovery.IdentityWithin.D()):
+		n.log.Error().Msg("the disk takes too long: this life ends as if by a crash")
+		return nil
+	}
+}
+
+func (n *Node) run(ctx context.Context) error {
 	if n.terms.Heir {
 		if !n.succeed(ctx) {
 			return nil
@@ -279,23 +297,27 @@
 		least = max(least, found.Facts.Life+1)
 	}
 	bad := found.KeysBad || n.settings.State.Doubt && found.Known && !found.Life.Clean
-	life := store.Life{Life: least}
-	done := make(chan error, 1)
+	life := store.Life{Life: max(least, found.Life.Life+1)}
+	done := make(chan store.Life, 1)
+	wrong := make(chan error, 1)
 	if s == nil {
-		done <- errors.New("no folder")
+		wrong <- errors.New("no folder")
 	} else {
 		go func() {
-			var err error
-			life, err = s.Begin(found.Life, least, token, bad, time.Now().UnixMilli())
-			done <- err
+			stored, err := s.Begin(found.Life, least, token, bad, time.Now().UnixMilli())
+			if err != nil {
+				wrong <- err
+				return
+			}
+			done <- stored
 		}()
 	}
 	var err error
 	select {
-	case err = <-done:
+	case life = <-done:
+	case err = <-wrong:
 	case <-time.After(n.settings.Recovery.IdentityWithin.D()):
 		err = errors.New("the disk takes too long")
-		life = store.Life{Life: max(least, found.Life.Life+1)}
 	}
 	n.mu.Lock()
 	if err != nil {
--- a/internal/fleet/recovery/core_test.go
+++ b/internal/fleet/recovery/core_test.go
@@ -274,3 +274,22 @@
 	c.Tick(40 * time.Second)
 	assert.False(t, bad(), "a window has been lived through")
 }
+
+// Guards against one that answers before it has heard how old its own disk is: it may have sent what it does not tell.
+func TestKeysAreOpenUntilThoseWhoAnswerKnowTheirOwnDisks(t *testing.T) {
+	c := core(2, Was{Life: 1})
+	for n := range 3 {
+		c.Take(ms, n+1, answer(c, n+1, Others))
+	}
+	assert.True(t, c.KeysOpen(2*ms))
+	for n := range 3 {
+		unsure := answer(c, n+1, Trickle)
+		unsure.Unsure = true
+		c.Take(3*ms, n+1, unsure)
+	}
+	assert.True(t, c.KeysOpen(4*ms), "nor while it cannot tell")
+	for n := range 3 {
+		c.Take(5*ms, n+1, answer(c, n+1, Trickle))
+	}
+	assert.False(t, c.KeysOpen(6*ms))
+}
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 )
 
 // Life is who a dispatcher is.
@@ -61,6 +62,7 @@
 	own   Life
 
 	factsMu sync.Mutex
+	kept    atomic.Uint64 // keys made durable in this life: told without waiting for a disk
 }
 
 // Open reads a folder. What cannot be believed is named in Found and counts as lost.
@@ -123,6 +125,7 @@
 		s.own.Life, s.own.Left = max(s.own.Life, was.Life+1), was.Left
 	}
 	s.keys.life, s.keys.count = s.own.Life, 0
+	s.kept.Store(0)
 	return s.own, s.life.write(s.own)
 }
 
@@ -165,15 +168,14 @@
 func (s *Store) Keep(keys []Key, now int64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.keys.write(keys, now)
+	err := s.keys.write(keys, now)
+	s.kept.Store(s.keys.count)
+	return err
 }
 
-// Kept is how many keys were made durable in this life.
-func (s *Store) Kept() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.keys.count
-}
+// Kept is how many keys were made durable in this life. It waits for no write: a disk that hangs stops those who
+// wait for it, and nobody else.
+func (s *Store) Kept() uint64 { return s.kept.Load() }
 
 // Learn makes facts durable.
 func (s *Store) Learn(f Facts) error {
--- a/internal/lab/command/lab_test.go
+++ b/internal/lab/command/lab_test.go
@@ -95,12 +95,23 @@
 	return playFile(t, fmt.Sprintf(short, policy, fault))
 }
 
+// scratch is a folder in memory where there is one: how long this machine's disk takes while a dozen plays write to
+// it, up to seconds, is not what a play is about. What a disk can do to a dispatcher, plays and tests do themselves.
+func scratch(t *testing.T) string {
+	dir, err := os.MkdirTemp("/dev/shm", "canvaslab-")
+	if err != nil {
+		return t.TempDir()
+	}
+	t.Cleanup(func() { os.RemoveAll(dir) })
+	return dir
+}
+
 func playFile(t *testing.T, text string) *experiment.Result {
 	p, err := experiment.Parse("short.toml", []byte(text))
 	assert.NoError(t, err)
 	self, err := os.Executable()
 	assert.NoError(t, err)
-	r, err := p.Run(context.Background(), 3, experiment.Options{Folder: t.TempDir(), Dispatcher: self, Self: self})
+	r, err := p.Run(context.Background(), 3, experiment.Options{Folder: scratch(t), Dispatcher: self, Self: self})
 	assert.NoError(t, err)
 	if r == nil {
 		t.FailNow()
--- a/internal/lab/command/power_test.go
+++ b/internal/lab/command/power_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
@@ -79,15 +78,7 @@
 
 // Several processes lose power at once and come back with each kind of disk, while messages between them are lost,
 // doubled and late. What must never happen, does not: the verdict rests on no time.
-// asked skips what failed once in five runs with a cause not yet found: CI has to give one verdict.
-func asked(t *testing.T) {
-	if os.Getenv("CANVASROUTE_PROCESSES") == "" {
-		t.Skip("set CANVASROUTE_PROCESSES=1")
-	}
-}
-
 func TestFleetThatLosesPowerKeepsTheRulesWithEachKindOfDisk(t *testing.T) {
-	asked(t)
 	const rough = "link-loss = 0.2\nlink-jitter = \"30ms\"\nlink-doubled = 0.2\n"
 	for _, disk := range trouble.Disks {
 		t.Run(disk, func(t *testing.T) {
@@ -109,7 +100,6 @@
 }
 
 func TestFleetThatLosesPowerKeepsTheRulesWithFaultsBetweenItsProcesses(t *testing.T) {
-	asked(t)
 	for name, more := range map[string]string{
 		"one never returns": "never = 1",
 		"three times":       "times = 3\nevery = \"1200ms\"",
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -51,23 +51,24 @@
 
 // Guards against a port that somebody listens on, over either protocol.
 func TestPortsThatAreTakenArePassedOver(t *testing.T) {
-	taken := map[uint16]bool{}
-	for port := range uint16(mostPort - leastPort) {
-		taken[leastPort+port] = port != 100 && port != 101
-	}
-	ln, err := net.Listen("tcp", "127.0.0.1:10340")
-	if err != nil {
-		t.Skip("somebody else listens there")
-	}
-	defer ln.Close()
-	for range 50 { // drawn by chance: most draws meet a taken one
-		at, err := freePort(taken)
-		if err == nil {
-			assert.EqualValues(t, 10341, at.Port())
-			return
+	for range portTries {
+		held, err := freePort()
+		assert.NoError(t, err)
+		ln, err := net.Listen("tcp", held.String())
+		if err != nil {
+			continue // somebody else was faster
 		}
-		assert.ErrorContains(t, err, "no free port")
+		defer ln.Close()
+		dealt.Add(^uint32(0)) // it is the next one to be dealt out again
+		at, err := freePort()
+		assert.NoError(t, err)
+		assert.NotEqual(t, held, at)
+		next, err := freePort()
+		assert.NoError(t, err)
+		assert.NotEqual(t, at, next, "none twice, though nobody listens there yet")
+		return
 	}
+	t.Fatal("no port could be listened on")
 }
 
 // What the lab writes as a configuration is what a dispatcher reads: else an experiment would test its
--- a/internal/lab/experiment/operators.go
+++ b/internal/lab/experiment/operators.go
@@ -70,7 +70,7 @@
 		return
 	}
 	next.directory, next.lives, next.fleet, next.disk = old.directory, old.lives, old.fleet, old.disk
-	at, err := freePort(map[uint16]bool{})
+	at, err := freePort()
 	if err != nil {
 		w.failed(err)
 		return
--- a/internal/lab/experiment/power.go
+++ b/internal/lab/experiment/power.go
@@ -19,10 +19,12 @@
 
 // link gives each dispatcher a folder for its state and a link to the others.
 func (w *world) link(ctx context.Context, own []netip.AddrPort) (err error) {
-	if w.links, err = peernet.New(own, w.linkManner(), link.Most, w.seed); err != nil {
+	links, err := peernet.New(own, w.linkManner(), link.Most, w.seed)
+	if err != nil {
 		return err
 	}
-	w.running.Go(func() error { return w.links.Run(ctx) })
+	w.links = links
+	w.running.Go(func() error { return links.Run(ctx) })
 	for n, p := range w.processes {
 		p.disk = filepath.Join(w.folder, p.name+".state")
 		if p.disk, err = filepath.Abs(p.disk); err != nil {
--- a/internal/lab/experiment/process.go
+++ b/internal/lab/experiment/process.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -187,15 +188,18 @@
 	portTries = 200
 )
 
+// firstPort is where this process begins to deal out ports, and dealt how many it has dealt out, in a ring: none
+// twice soon, since one whose dispatcher is without power is as free as any other, and would go to another play.
+var (
+	firstPort = rand.Uint32N(mostPort - leastPort)
+	dealt     atomic.Uint32
+)
+
 // freePort finds a port that nobody listens on, over TCP and UDP.
-func freePort(taken map[uint16]bool) (netip.AddrPort, error) {
+func freePort() (netip.AddrPort, error) {
 	home := netip.AddrFrom4([4]byte{127, 0, 0, 1})
 	for range portTries {
-		port := uint16(leastPort + rand.IntN(mostPort-leastPort))
-		at := netip.AddrPortFrom(home, port)
-		if taken[port] {
-			continue
-		}
+		at := netip.AddrPortFrom(home, uint16(leastPort+(firstPort+dealt.Add(1))%(mostPort-leastPort)))
 		ln, err := net.Listen("tcp", at.String())
 		if err != nil {
 			continue
@@ -206,7 +210,6 @@
 			continue
 		}
 		pc.Close()
-		taken[port] = true
 		return at, nil
 	}
 	return netip.AddrPort{}, fmt.Errorf("no free port found on 127.0.0.1 from %d to %d", leastPort, mostPort)
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -164,16 +164,16 @@
 
 // start starts all dispatchers on free ports, and waits until all are ready.
 func (w *world) start(ctx, running context.Context) error {
-	count, taken := w.plan.Dispatchers.Count, map[uint16]bool{}
+	count := w.plan.Dispatchers.Count
 	w.listen, w.processes = nil, nil
 	var own, linked []netip.AddrPort
 	for n := range count {
-		at, err := freePort(taken)
+		at, err := freePort()
 		if err != nil {
 			return err
 		}
 		w.listen = append(w.listen, at)
-		peer, err := freePort(taken)
+		peer, err := freePort()
 		if err != nil {
 			return err
 		}
@@ -182,12 +182,12 @@
 		if err != nil {
 			return err
 		}
-		mgmt, err := freePort(taken)
+		mgmt, err := freePort()
 		if err != nil {
 			return err
 		}
 		p.mgmt = mgmt.String()
-		at, err = freePort(taken)
+		at, err = freePort()
 		if err != nil {
 			return err
 		}
@@ -196,11 +196,12 @@
 	}
 	d := &w.plan.Dispatchers
 	if d.Peers && count > 1 {
-		var err error
-		if w.peers, err = peernet.New(own, w.manner(), peernet.Platform, w.seed); err != nil {
+		peers, err := peernet.New(own, w.manner(), peernet.Platform, w.seed)
+		if err != nil {
 			return err
 		}
-		w.running.Go(func() error { return w.peers.Run(running) })
+		w.peers = peers // a start that is tried again makes others, while these go on
+		w.running.Go(func() error { return peers.Run(running) })
 	}
 	if d.Recovery {
 		if err := w.link(running, linked); err != nil {
@@ -214,8 +215,9 @@
 			return err
 		}
 	}
-	w.front = sender.NewFront(addresses, d.NoticeAfter.D())
-	w.running.Go(func() error { return w.front.Run(running) })
+	front := sender.NewFront(addresses, d.NoticeAfter.D())
+	w.front = front
+	w.running.Go(func() error { return front.Run(running) })
 	return w.ready(ctx)
 }
 
