A cold worker's budget is for the slots that votes agree on, not the most ever seen

At fault: decide.go fits (most rose to any load at which starts were ever two ahead, and never fell) and warmPace 0.5, which a worker at a quarter of its warmth passes with a hint 1.9 times too long.

Change: most follows from all votes as they stand; a full cold worker is left alone for its span (what it turns away counts as sent); 0.7 for 0.5. Warmth under doubt is reckoned in one place.

--- a/decide/back.go
+++ b/decide/back.go
@@ -18,6 +18,15 @@
 	return !d.answered && d.asks > 0 && !slices.Contains(d.elder, true)
 }
 
+// sureWarmth is the share of its capacity that a worker has by its age, and no more than that of one that has just
+// started where it is in doubt.
+func (d *Dispatcher) sureWarmth(w Worker) float64 {
+	if d.doubted(w) {
+		return min(d.warmth(w), d.coldFrom)
+	}
+	return d.warmth(w)
+}
+
 // Alike tells that all dispatchers lost power, workers perhaps too, and that this one is back since a time.
 func (f *Facade) Alike(since Time) { f.with(func(d *Dispatcher) { d.alike = since }) }
 
@@ -65,10 +74,7 @@
 		if d.state[w] != Healthy || d.fails[w] > 0 && d.now < d.trialAt[w] {
 			continue
 		}
-		warmth, most := d.warmth(w), d.most[d.kind[w]]
-		if d.doubted(w) {
-			warmth = min(warmth, d.coldFrom)
-		}
+		warmth, most := d.sureWarmth(w), d.most[d.kind[w]]
 		workers, bears, now = workers+1, bears+most, now+warmth*most
 	}
 	return workers, bears, now
--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -1,6 +1,8 @@
 package decide
 
 import (
+	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -16,8 +18,9 @@
 	refused   []*job
 	sent      []spend // all that came, refused or not
 	news      []message
-	used      float64 // work done
-	could     float64 // work that it could have done
+	off       func() float64 // work over its hint, nil for hints that are true
+	used      float64        // work done
+	could     float64        // work that it could have done
 }
 
 type job struct {
@@ -50,7 +53,10 @@
 	d := l.c.fleet[l.number]
 	i := &d.invs[inv]
 	j := &job{from: d, inv: inv, n: len(i.forwards) - 1, left: float64(i.size)}
-	l.c.sent = append(l.c.sent, spend{at: l.c.now, work: i.size})
+	if l.c.off != nil {
+		j.left *= l.c.off()
+	}
+	l.c.sent = append(l.c.sent, spend{at: l.c.now, work: Work(j.left)})
 	if len(l.c.running) < coldSlots {
 		l.c.running = append(l.c.running, j)
 		return
@@ -151,3 +157,39 @@
 	d.others[0], d.seats[both].place[0] = 0, noPlace
 	assert.False(t, d.withinCold(0, 100))
 }
+
+// Guards against hints that are off, and against a worker that is found full by each of those who may send there:
+// what it turns away counts as sent.
+func TestColdWorkerIsNotPushedOverByHintsThatAreOff(t *testing.T) {
+	for _, n := range []int{2, 6, 10} {
+		for seed := range uint64(8) {
+			c, rng := coldFleet(n), rand.New(rand.NewPCG(seed, 1))
+			c.off = func() float64 { return math.Exp(0.4 * rng.NormFloat64()) }
+			assert.Less(t, c.load(2*Second), 1.0, "%d dispatchers, seed %d", n, seed)
+		}
+	}
+}
+
+// Guards against a budget for more slots than a kind has: by late news some forwards start at once at loads that
+// nearly all others wait at, and the most that was ever so voted for counted for good.
+func TestMostAtWorkIsWhatVotesAgreeOn(t *testing.T) {
+	d, _ := warmDispatcher(2, 1)
+	d.atFree = -1 // no reports tell
+	vote := func(load, times int, atOnce bool) {
+		for range times {
+			d.fits(0, load, atOnce)
+		}
+	}
+	vote(1, 10, true)
+	vote(2, 10, true)
+	vote(3, 6, true)
+	assert.EqualValues(t, 3, d.most[0])
+	vote(4, 2, true)
+	assert.EqualValues(t, 4, d.most[0], "for all that is known then")
+	vote(4, 3, false)
+	vote(5, 4, false)
+	vote(5, 2, true)
+	assert.EqualValues(t, 3, d.most[0])
+	vote(4, 5, true)
+	assert.EqualValues(t, 4, d.most[0])
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -20,7 +20,7 @@
 	passOver    = 2.0    // of the mean in flight per worker in the lane, taken as half a job at the least
 	coldMargin  = 0.7    // of a cold worker's budget is kept back: hints are rough, a slot may be half a core
 	coldSlack   = 0.1    // of it, where those who send there tell one another, beside what it may have done
-	warmPace    = 0.5    // of its hint's pace at the least proves that a worker is warm: hints are rough
+	warmPace    = 0.7    // of its hint's pace at the least proves that a worker is warm: hints are rough
 	hintTrust   = 0.5    // of the wait that a hint allows: hints are rough
 	shareSample = 16     // landings of a customer within its share that tell its traffic from chance
 	shareMargin = 1.5    // of a customer's share is let pass as chance
@@ -116,7 +116,7 @@
 	case Full:
 		d.alive(f)
 		d.fits(w, d.load(w)+1, false)
-		d.rest(w, Time(d.ops[i.op].mean)) // until a slot comes free, or forwards are used up there
+		d.rest(w, d.untilRoom(w, i.op)) // until a slot comes free, or forwards are used up there
 	case WorkerError, NoConnection, Refused, Reset: // a crash, a cut link, a program that fails all at once
 		if how == Refused {
 			d.ended(w)
@@ -431,6 +431,15 @@
 	}
 }
 
+// untilRoom is how long a worker that is full is left alone. A cold one is for as long as what it is sent counts:
+// what it turns away counts too, is in no load that peers tell of, and each of them would try it again.
+func (d *Dispatcher) untilRoom(w Worker, op Operation) Time {
+	if mean := Time(d.ops[op].mean); d.sureWarmth(w) == 1 {
+		return mean
+	}
+	return d.span
+}
+
 func (d *Dispatcher) load(w Worker) int { return d.own[w] + max(d.others[w], 0) }
 
 // warmth is the share of its capacity that a worker surely has, by its age: no more than since it was heard
@@ -452,10 +461,7 @@
 // ended within it was no more than the worker can do. Without messages each of the first few ranks has a
 // part, more by its age; a part for each of many would hold no invocation.
 func (d *Dispatcher) withinCold(w Worker, size Work) bool {
-	warmth := d.warmth(w)
-	if d.doubted(w) {
-		warmth = min(warmth, d.coldFrom)
-	}
+	warmth := d.sureWarmth(w)
 	if warmth == 1 {
 		return true
 	}
@@ -647,10 +653,10 @@
 		d.votes[k][load] += 2
 	}
 	for n, v := range d.votes[k] {
-		if v > 1 {
-			d.most[k] = max(d.most[k], float64(n))
+		if sum += v; sum > best+1 {
+			best, d.most[k] = sum, max(float64(n), 1)
 		}
-		if sum, best = sum+v, max(best, sum+v); sum > best-2 {
+		if best = max(best, sum); sum > best-2 {
 			slots = max(d.most[k], float64(n))
 		}
 	}
--- a/decide/ended_test.go
+++ b/decide/ended_test.go
@@ -95,13 +95,19 @@
 	d.meet(1, false)
 	assert.False(t, d.withinCold(0, much), "and what it tells is of no older date")
 
-	d = lonelyDispatcher()
-	d.Landed(0, Landing{Operation: 0, Grace: 20 * Second, Hint: 1000})
-	d.Settle()
-	w := d.invs[0].forwards[0].tgt
-	d.Started(0, 0)
-	d.Clock(d.now + 1500)
-	d.Ended(0, 0, Succeeded, true)
+	paced := func(took Time) Worker {
+		d = lonelyDispatcher()
+		d.Landed(0, Landing{Operation: 0, Grace: 20 * Second, Hint: 1000})
+		d.Settle()
+		w := d.invs[0].forwards[0].tgt
+		d.Started(0, 0)
+		d.Clock(d.now + took)
+		d.Ended(0, 0, Succeeded, true)
+		return w
+	}
+	w := paced(1600)
+	assert.False(t, d.withinCold(w, much), "a hint may be as far off, at a worker that is cold")
+	w = paced(1400)
 	assert.True(t, d.withinCold(w, much), "no cold worker is so fast")
 	assert.False(t, d.withinCold((w+1)%4, much))
 	d.Listed(nil, false, true)
--- a/internal/lab/command/power_test.go
+++ b/internal/lab/command/power_test.go
@@ -107,10 +107,13 @@
 			"dispatchers = 1\nway = \"hear\"",
 		"two are not heard": "[[trouble]]\nkind = \"link-cut\"\nat = \"3s\"\nfor = \"2s\"\n" +
 			"dispatchers = 2\nway = \"heard\"",
-		"a split in halves":    "[[trouble]]\nkind = \"link-cut\"\nat = \"3s\"\nfor = \"4s\"\ndispatchers = 2",
-		"a zone alone":         "zone = \"south\"",
-		"an upgrade meanwhile": "[[trouble]]\nkind = \"upgrade\"\nat = \"4300ms\"\ngap = \"200ms\"",
-		"parts off":            "",
+		"a split in halves":      "[[trouble]]\nkind = \"link-cut\"\nat = \"3s\"\nfor = \"4s\"\ndispatchers = 2",
+		"a zone alone":           "zone = \"south\"",
+		"an upgrade meanwhile":   "[[trouble]]\nkind = \"upgrade\"\nat = \"4300ms\"\ngap = \"200ms\"",
+		"a drain by hand before": "[[trouble]]\nkind = \"leave\"\nat = \"1s\"\nfor = \"5s\"\ndispatchers = 2",
+		"a clock an hour ahead":  "clock = \"1h\"",
+		"a clock an hour behind": "clock = \"-1h\"",
+		"parts off":              "",
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- /dev/null
+++ b/internal/lab/experiment/held.go
@@ -0,0 +1,79 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"canvasroute/internal/fleet/store"
+)
+
+// What a dispatcher with a state has to keep through a loss of power, whatever the clock says when it is back.
+
+// jump makes a dispatcher's clock one that jumped by so much while its power was away: all times that it had written
+// are that much further back, or ahead. It guards against ages reckoned by a clock that cannot be believed.
+func jump(folder, name string, by time.Duration) error {
+	disk, held, err := store.OpenFolder(folder)
+	if err != nil || !held {
+		return err
+	}
+	defer disk.Close()
+	_, found := store.Open(disk, name)
+	if !found.Known || found.Foreign {
+		return nil
+	}
+	names, err := disk.Names()
+	if err != nil {
+		return err
+	}
+	for _, file := range names {
+		if file != "lock" {
+			if err := disk.Remove(file); err != nil {
+				return err
+			}
+		}
+	}
+	ms := by.Milliseconds()
+	s, _ := store.Open(disk, name)
+	life := found.Life
+	if _, err := s.Begin(store.Life{}, life.Life, life.Token, found.KeysBad, life.Began-ms); err != nil {
+		return err
+	}
+	for n := range found.Keys {
+		found.Keys[n].At -= ms
+		found.Keys[n].Until -= ms
+	}
+	if err := s.Keep(found.Keys, time.Now().UnixMilli()); err != nil {
+		return err
+	}
+	if found.Facts != nil {
+		found.Facts.At -= ms
+		if err := s.Learn(*found.Facts); err != nil {
+			return err
+		}
+	}
+	return s.Leave(life.Left)
+}
+
+// heldEvery is how often a dispatcher that was told to leave is asked whether it takes clients.
+const heldEvery = 20 * time.Millisecond
+
+// holds watches a dispatcher that came back while an operator's LEAVE holds: until JOIN it takes no client.
+func (w *world) holds(ctx context.Context, n int) {
+	p := w.process(n)
+	for ctx.Err() == nil && p.up() && w.left(n) {
+		// What was asked before JOIN is answered before it: the order of the two answers tells.
+		if answer, err := called(p.mgmt, "HEALTH"); err == nil && answer == "done\n" && w.left(n) {
+			w.failed(fmt.Errorf("%s takes clients again, though an operator had told it to leave", dispatcherName(n)))
+			return
+		}
+		time.Sleep(heldEvery)
+	}
+}
+
+// left tells whether an operator's last word to a dispatcher was LEAVE.
+func (w *world) left(n int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.leaving[n]
+}
--- a/internal/lab/experiment/operators.go
+++ b/internal/lab/experiment/operators.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"canvasroute/internal/drain"
 	"canvasroute/internal/lab/ledger"
 	"canvasroute/internal/lab/trouble"
 )
@@ -85,7 +86,8 @@
 		return
 	}
 	for limit := time.Now().Add(yesWithin); ; {
-		if answer, err := called(next.mgmt, "HEALTH"); err == nil && answer == "done\n" {
+		answer, err := called(next.mgmt, "HEALTH")
+		if err == nil && (answer == "done\n" || w.left(n) && stays(answer)) {
 			break
 		}
 		if time.Now().After(limit) || ctx.Err() != nil {
@@ -104,6 +106,11 @@
 	next.follows(old)
 }
 
+// stays tells whether a second process says that it goes on with a LEAVE of before: it will never say done.
+func stays(health string) bool {
+	return strings.Contains(health, drain.Leaving.String()) || strings.Contains(health, drain.Away.String())
+}
+
 // crowd opens connections of clients that never ask for anything whole, until ctx ends: silent ones, or ones
 // that send a byte now and then. One that is ended is opened again.
 func (w *world) crowd(ctx context.Context, connections int, every time.Duration) {
@@ -148,6 +155,9 @@
 	case trouble.DispatcherLeave, trouble.DispatcherJoin:
 		call := map[trouble.Do]string{trouble.DispatcherLeave: "LEAVE", trouble.DispatcherJoin: "JOIN"}[a.Do]
 		for _, n := range a.Targets {
+			w.mu.Lock()
+			w.leaving[n] = a.Do == trouble.DispatcherLeave
+			w.mu.Unlock()
 			w.call(n, call)
 		}
 	case trouble.DispatcherRetune:
--- a/internal/lab/experiment/power.go
+++ b/internal/lab/experiment/power.go
@@ -82,7 +82,7 @@
 
 // power takes power from dispatchers, all at once, or gives it back to one of them. What it starts with is what
 // was known when power failed: nobody has told it anything since.
-func (w *world) power(a trouble.Action) {
+func (w *world) power(ctx context.Context, a trouble.Action) {
 	if a.Do == trouble.PowerFails {
 		var dying sync.WaitGroup
 		for _, n := range a.Targets {
@@ -104,8 +104,14 @@
 		}
 		if w.links != nil {
 			w.failed(w.spoil(n, a))
+			if a.Span != 0 {
+				w.failed(jump(w.process(n).disk, dispatcherName(n), a.Span))
+			}
 		}
 		w.failed(w.launch(n))
+		if w.links != nil && a.Word == trouble.DiskKept && w.left(n) {
+			w.during.Go(func() { w.holds(ctx, n) })
+		}
 		w.mu.Lock()
 		delete(w.stale, n)
 		w.mu.Unlock()
@@ -163,7 +169,7 @@
 	names := func() (all []string) {
 		entries, _ := os.ReadDir(p.disk)
 		for _, e := range entries {
-			if e.Name() != "lock" {
+			if e.Name() != "lock" && e.Type().IsRegular() { // a full disk of before has others
 				all = append(all, filepath.Join(p.disk, e.Name()))
 			}
 		}
--- a/internal/lab/experiment/result.go
+++ b/internal/lab/experiment/result.go
@@ -59,6 +59,7 @@
 	Forwards int64     `json:"forwards"`
 	Done     int64     `json:"done"`
 	BySlot   []float64 `json:"done_by_slot"` // a second
+	Nearest  float64   `json:"cold_nearest"` // most sent within the span while cold, over what it bears: above 1 it fell
 }
 
 // ProcessResult is what one dispatcher's processes came to.
@@ -118,7 +119,7 @@
 	for _, s := range w.servers {
 		name, kind, zone, _ := s.Site()
 		r.Workers = append(r.Workers, WorkerResult{Name: name, Kind: kind, Zone: p.Fleet.Zones[zone],
-			BySlot: make([]float64, len(r.Calls.Slots))})
+			BySlot: make([]float64, len(r.Calls.Slots)), Nearest: s.Nearest()})
 	}
 	every := time.Duration(r.Calls.Every * float64(time.Second))
 	for _, try := range w.ledger.Tries() {
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -57,6 +57,7 @@
 	pace     []map[int]float64 // by worker, then by trouble
 	away     map[int]time.Duration
 	stale    map[int][]byte // by dispatcher: the list as it was when power failed there, for its next start
+	leaving  map[int]bool   // dispatchers whose operator's last word was LEAVE
 	failures []string
 }
 
@@ -66,7 +67,7 @@
 // open builds the stand-ins and starts the dispatchers. It has to be closed, also after an error.
 func open(ctx context.Context, p *Plan, seed uint64, folder string, command []string) (*world, error) {
 	w := &world{plan: p, seed: seed, folder: folder, command: command, ledger: ledger.New(),
-		away: map[int]time.Duration{}, stale: map[int][]byte{}}
+		away: map[int]time.Duration{}, stale: map[int][]byte{}, leaving: map[int]bool{}}
 	w.zero.Store(time.Now().UnixNano())
 	running, cancel := context.WithCancel(context.Background())
 	w.running, running = errgroup.WithContext(running)
@@ -324,7 +325,7 @@
 			w.failed(w.add(kinds[0], n%zones, n/zones/w.plan.Fleet.CellSize*zones+n%zones, false))
 		}
 	case trouble.PowerFails, trouble.PowerReturns:
-		w.power(a)
+		w.power(ctx, a)
 	case trouble.DispatcherKill, trouble.DispatcherStart, trouble.DispatcherStall, trouble.DispatcherGoOn,
 		trouble.DispatcherRestart:
 		for _, n := range a.Targets {
--- a/internal/lab/ledger/judge.go
+++ b/internal/lab/ledger/judge.go
@@ -67,8 +67,8 @@
 	for _, f := range l.falls {
 		breaches = append(breaches, Breach{Rule: RuleColdBudget, ID: f.ID, Dispatcher: f.Dispatcher,
 			Worker: f.Worker, At: f.At,
-			What: fmt.Sprintf("%v of work within the span, where it bears %v", f.Sent.Round(time.Millisecond),
-				f.Bound.Round(time.Millisecond))})
+			What: fmt.Sprintf("%v of work within the span, where it bears %v: %s",
+				f.Sent.Round(time.Millisecond), f.Bound.Round(time.Millisecond), f.What)})
 	}
 	for n, b := range breaches {
 		if try := l.byID[b.ID]; try != nil && try.Operation < len(t.Operations) {
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -82,6 +82,7 @@
 	ID                 string
 	At                 time.Duration
 	Sent, Bound        time.Duration // core time sent within the span, and what it could bear
+	What               string        // the heaviest of it
 }
 
 // Outage is a time in which a dispatcher's process was gone or stood still.
--- a/internal/lab/registry/registry_test.go
+++ b/internal/lab/registry/registry_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -105,3 +106,27 @@
 	assert.Equal(t, 400, b.StatusCode)
 	b.Body.Close()
 }
+
+func TestReadyIsNotedBeforeADispatcherCanKnow(t *testing.T) {
+	var read atomic.Bool
+	known := make(chan bool, 1)
+	c := NewCatalog(0)
+	c.Put(0, Entry{Worker: 0, Host: "w0", Dials: []string{"127.0.0.1:1"}, State: Ready})
+	s, err := New(c, 1, func() time.Duration { return 0 }, func(int, Entry) {
+		time.Sleep(50 * time.Millisecond) // longer than a line takes on its way
+		known <- read.Load()
+	})
+	assert.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- s.Run(ctx) }()
+	a, err := http.Get("http://" + s.Address(0) + "/catalog/members?stream=1&index=0")
+	assert.NoError(t, err)
+	_, err = a.Body.Read(make([]byte, 1))
+	assert.NoError(t, err)
+	read.Store(true)
+	assert.False(t, <-known)
+	a.Body.Close()
+	cancel()
+	assert.NoError(t, <-done)
+}
--- a/internal/lab/registry/server.go
+++ b/internal/lab/registry/server.go
@@ -140,8 +140,9 @@
 		s.mu.Lock()
 		version, entries := s.catalog.Whole(s.clock())
 		s.mu.Unlock()
+		s.tell(dispatcher, entries, true)
 		w.Write(append(encode(version, true, entries, dispatcher), '\n'))
-		s.tell(dispatcher, entries)
+		s.tell(dispatcher, entries, false)
 		return
 	}
 	version, err := strconv.Atoi(r.URL.Query().Get("index"))
@@ -170,13 +171,14 @@
 			line = []byte{}
 		}
 		if line != nil {
+			s.tell(dispatcher, entries, true)
 			if _, err := w.Write(append(line, '\n')); err != nil {
 				return
 			}
 			if out.Flush() != nil {
 				return
 			}
-			s.tell(dispatcher, entries)
+			s.tell(dispatcher, entries, false)
 			first, version, wrote = false, newest, time.Now()
 		}
 		select {
@@ -189,9 +191,13 @@
 	}
 }
 
-func (s *Service) tell(dispatcher int, entries []Entry) {
+// tell notes what a dispatcher is told: that workers are ready before it can know, and the rest once it can. It
+// guards against a judge that takes a dispatcher that was quicker than the note for one that breaks a drain.
+func (s *Service) tell(dispatcher int, entries []Entry, ready bool) {
 	for _, e := range entries {
-		s.told(dispatcher, e)
+		if ready == (e.State == Ready) {
+			s.told(dispatcher, e)
+		}
 	}
 }
 
--- a/internal/lab/trouble/timeline.go
+++ b/internal/lab/trouble/timeline.go
@@ -35,15 +35,15 @@
 
 	// power-loss: when what lost power is back, counted from the loss; each dispatcher and worker at a time of its
 	// own, drawn from what is named here and spread more.
-	Back        unit.Span `toml:"back"`         // dispatchers
-	WorkersBack unit.Span `toml:"workers-back"` // 0: workers keep their power
-	ListBack    unit.Span `toml:"list-back"`    // 0: the list service keeps its power
-	PeersBack   unit.Span `toml:"peers-back"`   // 0: the network between dispatchers does
-	Spread      unit.Span `toml:"spread"`
-	Never       int       `toml:"never"` // of the dispatchers, how many never come back
-	Times       int       `toml:"times"` // how often power fails, every so long
-	Disk        string    `toml:"disk"`  // what became of the dispatchers' disks
-	Clock       unit.Span `toml:"clock"` // by which the clock of one dispatcher has jumped, either way
+	Back        unit.Span  `toml:"back"`         // dispatchers
+	WorkersBack unit.Span  `toml:"workers-back"` // 0: workers keep their power
+	ListBack    unit.Span  `toml:"list-back"`    // 0: the list service keeps its power
+	PeersBack   unit.Span  `toml:"peers-back"`   // 0: the network between dispatchers does
+	Spread      unit.Span  `toml:"spread"`
+	Never       int        `toml:"never"` // of the dispatchers, how many never come back
+	Times       int        `toml:"times"` // how often power fails, every so long
+	Disk        string     `toml:"disk"`  // what became of the dispatchers' disks
+	Clock       unit.Shift `toml:"clock"` // by which the clock of one dispatcher has jumped, either way
 
 	Way string `toml:"way"` // link-cut: hear, heard or both, as those that are cut off do no longer
 }
--- a/internal/lab/unit/unit.go
+++ b/internal/lab/unit/unit.go
@@ -27,6 +27,25 @@
 // D is the span for the standard library.
 func (s Span) D() time.Duration { return time.Duration(s) }
 
+// Shift is a time that may go either way, written like a Span with a sign.
+type Shift time.Duration
+
+// UnmarshalText reads a shift; the error tells what was there.
+func (s *Shift) UnmarshalText(b []byte) error {
+	d, err := time.ParseDuration(string(b))
+	if err != nil {
+		return fmt.Errorf("%q is not a time such as \"-1h\" or \"90s\"", b)
+	}
+	*s = Shift(d)
+	return nil
+}
+
+// MarshalText writes a shift as it is read.
+func (s Shift) MarshalText() ([]byte, error) { return []byte(time.Duration(s).String()), nil }
+
+// D is the shift for the standard library.
+func (s Shift) D() time.Duration { return time.Duration(s) }
+
 // Chance is a stream of random figures drawn from a seed and a name, so that one stream that is drawn from
 // more often leaves the others as they were. Source: the standard library's PCG.
 func Chance(seed uint64, stream string) *rand.Rand {
--- a/internal/lab/worker/machine.go
+++ b/internal/lab/worker/machine.go
@@ -3,8 +3,11 @@
 package worker
 
 import (
+	"cmp"
+	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -82,6 +85,18 @@
 type load struct {
 	at   time.Duration
 	work time.Duration
+	id   string
+}
+
+// Heaviest words what it was sent within the span, the heaviest first, at most so many.
+func (m *Machine) Heaviest(most int) string {
+	all := slices.Clone(m.sent)
+	slices.SortStableFunc(all, func(a, b load) int { return cmp.Compare(b.work, a.work) })
+	var words []string
+	for _, l := range all[:min(most, len(all))] {
+		words = append(words, fmt.Sprintf("%s %v", l.id, l.work.Round(time.Millisecond)))
+	}
+	return fmt.Sprintf("%d sent: %s", len(all), strings.Join(words, ", "))
 }
 
 // NewMachine starts a process; warm if it is to have started long ago. result words what a job makes.
@@ -168,7 +183,7 @@
 	events = m.Advance(now)
 	if warmth := m.Warmth(now); warmth < 1 && m.cold.Multiple > 0 {
 		m.sent = slices.DeleteFunc(m.sent, func(l load) bool { return l.at <= now-m.cold.Span })
-		m.sent = append(m.sent, load{now, j.Work})
+		m.sent = append(m.sent, load{now, j.Work, j.ID})
 		for _, l := range m.sent {
 			sent += l.work
 		}
--- a/internal/lab/worker/server.go
+++ b/internal/lab/worker/server.go
@@ -64,6 +64,7 @@
 	addresses []string // by dispatcher
 	pace      float64
 	silent    bool
+	coldest   float64
 }
 
 // life is one process of a worker: its machine, its connections, and a gate that closes while it stands still
@@ -263,12 +264,15 @@
 		delete(l.jobs, id)
 	}
 	s.pass(l, events)
+	if bound > 0 {
+		s.coldest = max(s.coldest, sent.Seconds()/bound.Seconds())
+	}
 	switch verdict {
 	case Declined:
 		return nil, true
 	case Toppled:
 		s.fleet.ledger.Fell(ledger.Fall{Worker: s.n, Dispatcher: f.Dispatcher, ID: id, At: s.fleet.clock(),
-			Sent: sent, Bound: bound})
+			Sent: sent, Bound: bound, What: l.machine.Heaviest(12)})
 		s.crash()
 		if s.fleet.fell != nil {
 			go s.fleet.fell(s.n)
@@ -417,6 +421,14 @@
 	return s.name, s.kind.Name, s.zone, s.cell
 }
 
+// Nearest is the most work that it was sent within the span while it was cold, over what it bears: above 1 it
+// fell over.
+func (s *Server) Nearest() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.coldest
+}
+
 // Born is when its process, or the last one, started, from the experiment's start; 0 for long ago.
 func (s *Server) Born() time.Duration {
 	s.mu.Lock()
