Facts are written in place: a file in another's place held up all syncs of a disk

Seen: a write of 100 kB of facts takes 70 ms here (1.0 ms on an earlier machine), a key alone 0.16 ms. Checked by hand on the file system (ext4 with discard): in place 0.2 ms; truncated, renamed over another or unlinked 61 to 63 ms.

Change: facts go over the older of their two files in place; the other is whole meanwhile, and a torn one is found by its checksum. The life is renamed as before. The memory disk knows files that are overwritten, and each step and torn tail of a history is played as before.

--- a/internal/fleet/store/disk.go
+++ b/internal/fleet/store/disk.go
@@ -15,6 +15,7 @@
 type Disk interface {
 	Read(name string) ([]byte, error) // fs.ErrNotExist where there is none
 	Write(name string, b []byte) error
+	Overwrite(name string, b []byte) error // in place: what the file had beyond stays, and no block is freed
 	Append(name string, b []byte) error
 	Sync(name string) error
 	Rename(from, to string) error
@@ -85,6 +86,16 @@
 // Write makes a file anew.
 func (f *Folder) Write(name string, b []byte) error { return os.WriteFile(f.at(name), b, 0o600) }
 
+// Overwrite puts bytes over the beginning of a file.
+func (f *Folder) Overwrite(name string, b []byte) error {
+	file, err := os.OpenFile(f.at(name), os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(b)
+	return errors.Join(err, file.Close())
+}
+
 // Append adds to a file's end.
 func (f *Folder) Append(name string, b []byte) error {
 	file, err := os.OpenFile(f.at(name), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
--- a/internal/fleet/store/memory.go
+++ b/internal/fleet/store/memory.go
@@ -53,6 +53,9 @@
 		b := slices.Clone(i.durable)
 		if len(i.bytes) > len(b) && slices.Equal(i.bytes[:len(b)], b) {
 			b = append(b, i.bytes[len(b):min(len(i.bytes), len(b)+tail)]...)
+		} else { // overwritten: so much of it came through
+			over := i.bytes[:min(len(i.bytes), tail)]
+			b = append(slices.Clone(over), b[min(len(b), len(over)):]...)
 		}
 		next.now[name] = &inode{b, slices.Clone(b)}
 	}
@@ -81,6 +84,21 @@
 	return nil
 }
 
+// Overwrite puts bytes over the beginning of a file.
+func (m *Memory) Overwrite(name string, b []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.step(true); err != nil {
+		return err
+	}
+	if m.now[name] == nil {
+		m.now[name] = &inode{}
+	}
+	i := m.now[name]
+	i.bytes = append(slices.Clone(b), i.bytes[min(len(b), len(i.bytes)):]...)
+	return nil
+}
+
 // Append adds to a file's end.
 func (m *Memory) Append(name string, b []byte) error {
 	m.mu.Lock()
--- a/internal/fleet/store/slot.go
+++ b/internal/fleet/store/slot.go
@@ -15,6 +15,8 @@
 	name   string
 	kind   byte
 	number uint64 // of the newest one written or read
+	often  bool   // it is written all the time, and the one before the last will do: written in place
+	there  [2]bool
 }
 
 // numbered is a document with its place among all that were written.
@@ -34,6 +36,7 @@
 		if errors.Is(err, fs.ErrNotExist) {
 			continue
 		}
+		s.there[n] = true
 		var doc numbered
 		if err == nil {
 			_, err = unseal(b, s.kind, &doc)
@@ -66,6 +69,9 @@
 	if err != nil {
 		return err
 	}
+	if s.often {
+		return s.overwrite(b)
+	}
 	fresh := s.name + ".new"
 	for _, step := range []func() error{
 		func() error { return s.disk.Write(fresh, b) },
@@ -80,3 +86,23 @@
 	s.number++
 	return nil
 }
+
+// overwrite puts one over the older of the two files, and returns once it is durable. A file in another's place frees
+// blocks: some file systems tell the device of each at once, and hold up all syncs, those of keys too, for so long.
+func (s *slot) overwrite(b []byte) error {
+	next := (s.number + 1) % 2
+	name := s.file(s.number + 1)
+	err := s.disk.Overwrite(name, b)
+	if err == nil {
+		err = s.disk.Sync(name)
+	}
+	if err == nil && !s.there[next] {
+		err = s.disk.SyncNames()
+	}
+	if err != nil {
+		return fmt.Errorf("writing %s: %w", s.name, err)
+	}
+	s.there[next] = true
+	s.number++
+	return nil
+}
--- a/internal/lab/experiment/power.go
+++ b/internal/lab/experiment/power.go
@@ -232,7 +232,7 @@
 	return errX == nil && errY == nil && x.ModTime().After(y.ModTime())
 }
 
-// fill makes each write to a folder fail from now on, by what stands where new files would be made: a full
+// fill makes each write that needs a new file fail from now on, by what stands where it would be made: a full
 // device, or what cannot be written.
 func (w *world) fill(p *process, how string) error {
 	to := "/dev/full"
@@ -247,7 +247,7 @@
 			last = max(last, n)
 		}
 	}
-	names := []string{"life.new", "facts.new"}
+	names := []string{"life.new"}
 	for n := range 1000 {
 		names = append(names, fmt.Sprintf("keys.%d", last+1+n))
 	}
