--- a/decide/back.go
+++ b/decide/back.go
@@ -7,9 +7,10 @@
 // doubted tells whether a worker may have started since the list told of it, though nothing was seen of that. It
 // is so where all lost power, until a list has been followed for as long as it may keep silent; and where this
 // dispatcher goes by a list from before its start, cannot get another one, and meets nobody who has lived longer.
-// A start told since, and work done at a pace that no cold worker has, end it.
-func (d *Dispatcher) doubted(w Worker) bool {
-	if d.proved[w] || d.ramp == 0 {
+// A start told since ends it; work done at a pace that no cold worker has ends it for
+// what is no larger than some such pieces: hints are rough, and the largest would all go to the first that seems warm.
+func (d *Dispatcher) doubted(w Worker, size Work) bool {
+	if d.ramp == 0 || float64(size) <= d.multiple*float64(d.proved[w]) {
 		return false
 	}
 	if d.alike > 0 && d.born[w] < d.alike && !(d.subscribed && d.now >= d.followed+d.askWithin) {
@@ -19,14 +20,21 @@
 }
 
 // sureWarmth is the share of its capacity that a worker has by its age, and no more than that of one that has just
-// started where it is in doubt.
-func (d *Dispatcher) sureWarmth(w Worker) float64 {
-	if d.doubted(w) {
+// started where it is in doubt for work of a size.
+func (d *Dispatcher) sureWarmth(w Worker, size Work) float64 {
+	if d.doubted(w, size) {
 		return min(d.warmth(w), d.coldFrom)
 	}
 	return d.warmth(w)
 }
 
+// prove takes a piece of work that succeeded for what it says of its worker's warmth.
+func (d *Dispatcher) prove(w Worker, size Work, took Time) {
+	if float64(size) >= warmPace*float64(took) {
+		d.proved[w] = max(d.proved[w], size)
+	}
+}
+
 // Alike tells that all dispatchers lost power, workers perhaps too, and that this one is back since a time.
 func (f *Facade) Alike(since Time) { f.with(func(d *Dispatcher) { d.alike = since }) }
 
@@ -74,7 +82,7 @@
 		if d.state[w] != Healthy || d.fails[w] > 0 && d.now < d.trialAt[w] {
 			continue
 		}
-		warmth, most := d.sureWarmth(w), d.most[d.kind[w]]
+		warmth, most := d.sureWarmth(w, d.median), d.most[d.kind[w]]
 		workers, bears, now = workers+1, bears+most, now+warmth*most
 	}
 	return workers, bears, now
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -112,7 +112,7 @@
 		d.fails[w] = 0
 		d.lively(w)
 		d.alive(f)
-		d.proved[w] = d.proved[w] || float64(i.size) >= warmPace*float64(d.now-max(f.sent, f.started))
+		d.prove(w, i.size, d.now-max(f.sent, f.started))
 	case Full:
 		d.alive(f)
 		d.fits(w, d.load(w)+1, false)
@@ -168,11 +168,11 @@
 // long as no list is followed, the others in its zone may have ended with it (a power loss), but for those
 // where something runs; any start that a list tells of them later is newer.
 func (d *Dispatcher) ended(w Worker) {
-	d.endedAt[w], d.aliveAt[w], d.proved[w] = d.now, never, false
+	d.endedAt[w], d.aliveAt[w], d.proved[w] = d.now, never, 0
 	for _, o := range d.ring {
 		if !d.subscribed && d.workerZone[o] == d.workerZone[w] && d.endedAt[o] == 0 &&
 			d.own[o] <= d.waiting[o] {
-			d.endedAt[o], d.aliveAt[o], d.proved[o] = 1, never, false
+			d.endedAt[o], d.aliveAt[o], d.proved[o] = 1, never, 0
 		}
 	}
 }
@@ -434,7 +434,7 @@
 // untilRoom is how long a worker that is full is left alone. A cold one is for as long as what it is sent counts:
 // what it turns away counts too, is in no load that peers tell of, and each of them would try it again.
 func (d *Dispatcher) untilRoom(w Worker, op Operation) Time {
-	if mean := Time(d.ops[op].mean); d.sureWarmth(w) == 1 {
+	if mean := Time(d.ops[op].mean); d.sureWarmth(w, d.median) == 1 {
 		return mean
 	}
 	return d.span
@@ -461,7 +461,7 @@
 // ended within it was no more than the worker can do. Without messages each of the first few ranks has a
 // part, more by its age; a part for each of many would hold no invocation.
 func (d *Dispatcher) withinCold(w Worker, size Work) bool {
-	warmth := d.sureWarmth(w)
+	warmth := d.sureWarmth(w, size)
 	if warmth == 1 {
 		return true
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -106,7 +106,7 @@
 	born, trialAt, openAt       []Time // nothing goes there before: after a failure, in a queue
 	endedAt, aliveAt            []Time // when a process was seen to have ended, and the next one heard
 	own, waiting, others, fails []int
-	proved                      []bool // by the pace of its work: it is warm
+	proved                      []Work // the largest that it has done at the pace of a warm one
 	toldOf                      []int  // what peers last were told
 	spent                       [][]spend
 	ring                        []Worker // those listed, by hash
@@ -151,7 +151,7 @@
 	d.own, d.waiting, d.others = append(d.own, 0), append(d.waiting, 0), append(d.others, 0)
 	d.fails, d.spent, d.trialAt = append(d.fails, 0), append(d.spent, nil), append(d.trialAt, 0)
 	d.openAt = append(d.openAt, 0)
-	d.endedAt, d.aliveAt, d.proved = append(d.endedAt, 0), append(d.aliveAt, 0), append(d.proved, false)
+	d.endedAt, d.aliveAt, d.proved = append(d.endedAt, 0), append(d.aliveAt, 0), append(d.proved, 0)
 	d.heard, d.keep, d.toldOf = append(d.heard, nil), append(d.keep, [2]int{}), append(d.toldOf, 0)
 }
 
