One of each in the return: Seen, parts heard, the memory disk's steps; unused words out

Found: the node and its simulation turned what was seen of others to the disk's form and back by loops of their own; settle sought by name the member that the core had just been given; the disk's facts were decoded again for each question until the dispatcher was open; work sent and the list's version were told to others and read by nobody; one wait for a key had its limit worded twice; seven methods of the memory disk began alike.

Change: recovery.Seen is store.Seen, and WasOf serves both; the core tells the member of each part; what kinds bore is read from the disk once; Worker.Sent, Message.List and their reckoning are gone, and the table says that nobody checks the work sent within the span, as it was; a context bounds the wait; Memory.step takes the step; Folder.put serves Append and Overwrite.

--- a/internal/fleet/keys.go
+++ b/internal/fleet/keys.go
@@ -39,22 +39,19 @@
 	now := time.Now().UnixMilli()
 	key := kept{store.Key{Sum: sumOf(k.Operation, k.Key), Host: k.Host, Zone: k.Zone, Cell: k.Cell, At: now,
 		Until: now + k.Window.Milliseconds()}, make(chan error, 1)}
-	limit := time.NewTimer(n.settings.Recovery.KeepWithin.D())
-	defer limit.Stop()
+	within := n.settings.Recovery.KeepWithin.D()
+	ctx, cancel := context.WithTimeoutCause(ctx, within, fmt.Errorf("key: not on disk within %v", within))
+	defer cancel()
 	select {
 	case n.keeping <- key:
-	case <-limit.C:
-		return fmt.Errorf("key: not on disk within %v", n.settings.Recovery.KeepWithin.D())
 	case <-ctx.Done():
-		return ctx.Err()
+		return context.Cause(ctx)
 	}
 	select {
 	case err := <-key.done:
 		return err
-	case <-limit.C:
-		return fmt.Errorf("key: not on disk within %v", n.settings.Recovery.KeepWithin.D())
 	case <-ctx.Done():
-		return ctx.Err()
+		return context.Cause(ctx)
 	}
 }
 
--- a/internal/fleet/link/message.go
+++ b/internal/fleet/link/message.go
@@ -28,7 +28,6 @@
 	Born  int64  `cbor:"2,keyasint,omitempty"` // Unix time in ms, 0 for long ago
 	State string `cbor:"3,keyasint,omitempty"` // as listed, "" for ready
 	Out   int    `cbor:"4,keyasint,omitempty"` // forwards out there
-	Sent  int64  `cbor:"5,keyasint,omitempty"` // work sent there within the span, in tenths of ms
 }
 
 // Key tells where an invocation under a key may have run.
@@ -59,7 +58,6 @@
 	YourToken uint64             `cbor:"9,keyasint,omitempty"`  // and whose it is
 	YourKept  uint64             `cbor:"19,keyasint,omitempty"` // and how many keys it had made durable
 	Heard     int64              `cbor:"10,keyasint,omitempty"` // how many ms ago
-	List      int64              `cbor:"11,keyasint,omitempty"` // version of the list
 	Unsure    bool               `cbor:"21,keyasint,omitempty"` // whether there are such keys is not known yet
 	KeysBad   bool               `cbor:"12,keyasint,omitempty"` // keys that the sender should know may be missing
 	Bears     map[string]float64 `cbor:"13,keyasint,omitempty"` // by kind of worker: the most seen at work at once
--- a/internal/fleet/merge.go
+++ b/internal/fleet/merge.go
@@ -12,7 +12,7 @@
 )
 
 // apply takes up what is trusted of before, and what others know, before the first invocation lands.
-func (n *Node) apply(answers []heard) {
+func (n *Node) apply(answers []recovery.Heard) {
 	n.mu.Lock()
 	who, found := n.core.Case(), n.found
 	n.mu.Unlock()
@@ -97,7 +97,7 @@
 
 // merge takes what others know, to the careful side: the latest start of a worker, a drain that anybody was told
 // of, each key. What is out at workers is taken from those alone who serve.
-func (n *Node) merge(answers []heard) {
+func (n *Node) merge(answers []recovery.Heard) {
 	_, entries := n.router.Entries()
 	at := map[string]int{}
 	for k, e := range entries {
@@ -107,7 +107,7 @@
 	for _, m := range answers {
 		serves := recovery.Phase(m.Phase) == recovery.Full
 		if serves {
-			n.facade.Elder(m.from)
+			n.facade.Elder(m.Member)
 		}
 		for kind, most := range m.Bears {
 			if k := slices.Index(n.terms.Kinds, kind); k >= 0 { // also of another's disk: where this one's is gone
@@ -127,7 +127,7 @@
 				e.State, changed[k] = w.State, true
 			}
 			if serves && w.Out > 0 {
-				n.router.Hear(m.from, w.Host, w.Out)
+				n.router.Hear(m.Member, w.Host, w.Out)
 			}
 		}
 		n.mu.Lock()
@@ -150,19 +150,18 @@
 
 // reply answers questions with what is known here.
 func (n *Node) reply(questions []recovery.Question) {
-	version, entries := n.router.Entries()
-	span := n.terms.Now() - decide.Time(spanTold/(time.Second/decide.Second))
-	out, sent := n.router.Out(span)
-	k := recovery.Known{List: version, Bears: n.bears()}
+	_, entries := n.router.Entries()
+	out := n.router.Out()
+	k := recovery.Known{Bears: n.bears()}
 	for _, e := range entries {
 		if e.State == protocol.Gone {
 			continue
 		}
-		w := link.Worker{Host: e.ID, Born: int64(e.BornMs), Out: out[e.ID], Sent: int64(sent[e.ID])}
+		w := link.Worker{Host: e.ID, Born: int64(e.BornMs), Out: out[e.ID]}
 		if e.State != protocol.Ready {
 			w.State = e.State
 		}
-		if w.Born > 0 || w.State != "" || w.Out > 0 || w.Sent > 0 {
+		if w.Born > 0 || w.State != "" || w.Out > 0 {
 			k.Workers = append(k.Workers, w)
 		}
 	}
@@ -183,13 +182,10 @@
 // bears is what kinds of worker were seen to bear at once: here, or before that by what the disk tells.
 func (n *Node) bears() map[string]float64 {
 	all := map[string]float64{}
-	take := func(kinds []string, kind int, most float64) {
-		if kind < len(kinds) && most > 1 {
-			all[kinds[kind]] = max(all[kinds[kind]], most)
-		}
-	}
 	for kind, most := range n.facade.Bears() {
-		take(n.terms.Kinds, kind, most)
+		if kind < len(n.terms.Kinds) && most > 1 {
+			all[n.terms.Kinds[kind]] = most
+		}
 	}
 	n.mu.Lock()
 	open, facts := n.open, n.found.Facts
@@ -201,13 +197,21 @@
 	if ok, _ := recovery.Trust(recovery.FactBears, age, recovery.All); !ok {
 		return all
 	}
+	for kind, most := range n.bore() {
+		all[kind] = max(all[kind], most)
+	}
+	return all
+}
+
+// readBears is what kinds of worker bore by the facts on disk.
+func (n *Node) readBears() map[string]float64 {
+	all := map[string]float64{}
 	if l, ok := n.learnt(); ok && len(l.Learnt) > 0 {
 		for kind, was := range l.Learnt[0].Kinds {
-			take(l.Kinds, kind, was.Most)
+			if kind < len(l.Kinds) && was.Most > 1 {
+				all[l.Kinds[kind]] = was.Most
+			}
 		}
 	}
 	return all
 }
-
-// spanTold is how far back work sent to workers is told.
-const spanTold = 2 * time.Second
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -53,20 +53,15 @@
 	found   store.Found
 	socket  *link.Socket
 	keys    *recovery.Keys
-	failing bool // the disk
-	answers []heard
-	applied bool   // what is trusted is being taken up
-	open    bool   // it has been: invocations may land
-	reason  string // of the phase
+	failing bool                      // the disk
+	answers []recovery.Heard          // that wait to be merged
+	applied bool                      // what is trusted is being taken up
+	open    bool                      // it has been: invocations may land
+	reason  string                    // of the phase
+	bore    func() map[string]float64 // what kinds bore by the disk, read from it once
 	stats   stats
 }
 
-// heard is a part of an answer that waits to be merged.
-type heard struct {
-	from int
-	*link.Message
-}
-
 // stats are what the node's figures tell.
 type stats struct {
 	trusted, dropped   int64
@@ -87,6 +82,7 @@
 func Open(ctx context.Context, s *Settings, t Terms) (*Node, error) {
 	n := &Node{settings: s, terms: t, log: t.Log, began: time.Now(), keeping: make(chan kept, 1024),
 		stepped: make(chan struct{}, 1), yields: make(chan bool, 4), keys: recovery.NewKeys(t.Window)}
+	n.bore = sync.OnceValue(n.readBears)
 	r := &s.Recovery
 	var members []string
 	for _, m := range s.Members {
@@ -298,24 +294,23 @@
 	}
 	bad := found.KeysBad || n.settings.State.Doubt && found.Known && !found.Life.Clean
 	life := store.Life{Life: max(least, found.Life.Life+1)}
-	done := make(chan store.Life, 1)
-	wrong := make(chan error, 1)
+	var stored store.Life // not to be looked at before done tells
+	done := make(chan error, 1)
 	if s == nil {
-		wrong <- errors.New("no folder")
+		done <- errNoFolder
 	} else {
 		go func() {
-			stored, err := s.Begin(found.Life, least, token, bad, time.Now().UnixMilli())
-			if err != nil {
-				wrong <- err
-				return
-			}
-			done <- stored
+			var err error
+			stored, err = s.Begin(found.Life, least, token, bad, time.Now().UnixMilli())
+			done <- err
 		}()
 	}
 	var err error
 	select {
-	case life = <-done:
-	case err = <-wrong:
+	case err = <-done:
+		if err == nil {
+			life = stored
+		}
 	case <-time.After(n.settings.Recovery.IdentityWithin.D()):
 		err = errors.New("the disk takes too long")
 	}
@@ -328,13 +323,7 @@
 		n.core.Raised(n.now(), life.Life)
 		n.core.GoOn(n.now(), life.Life, token)
 	} else {
-		was := recovery.Was{Life: found.Life.Life, Kept: found.Kept, Bad: bad, Seen: map[string]recovery.Seen{}}
-		if found.Facts != nil {
-			for name, far := range found.Facts.Seen {
-				was.Seen[name] = recovery.Seen(far)
-			}
-		}
-		n.core.Stored(n.now(), life.Life, token, was)
+		n.core.Stored(n.now(), life.Life, token, recovery.WasOf(found, bad))
 	}
 	n.mu.Unlock()
 	n.settle()
@@ -395,17 +384,11 @@
 		n.log.Info().Stringer("phase", s.Phase).Str("why", s.Why).Dur("at_ms", s.At).Stringer("case", n.core.Case()).
 			Msg("returning")
 	}
-	for _, m := range out.Heard {
-		for from := range n.settings.Members {
-			if n.settings.Members[from].Name == m.From {
-				n.answers = append(n.answers, heard{from, m})
-			}
-		}
-	}
+	n.answers = append(n.answers, out.Heard...)
 	ready := n.core.Phase() >= recovery.Trickle && n.core.Phase() != recovery.Superseded
 	first := ready && !n.applied && !n.terms.Heir
 	n.applied = n.applied || ready
-	var answers []heard
+	var answers []recovery.Heard
 	if n.applied {
 		answers, n.answers = n.answers, nil
 	}
--- a/internal/fleet/recovery/core.go
+++ b/internal/fleet/recovery/core.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"canvasroute/internal/fleet/link"
+	"canvasroute/internal/fleet/store"
 )
 
 // Phase is how far a dispatcher has returned. Within one life it only grows.
@@ -82,6 +83,12 @@
 	*link.Message
 }
 
+// Heard is a part of an answer, and which member it is of.
+type Heard struct {
+	Member int
+	*link.Message
+}
+
 // Question is one to be answered with what is known here.
 type Question struct {
 	From   int
@@ -104,7 +111,7 @@
 	Raise     uint64 // a life to be made durable before anything else is sent, 0 for none
 	Doubt     *bool  // whether keys of before may be missing, to be made durable too
 	Steps     []Step
-	Heard     []*link.Message // parts of answers, to be merged
+	Heard     []Heard // parts of answers, to be merged
 }
 
 // Core is the return of one dispatcher.
@@ -154,7 +161,8 @@
 	seen := map[string]Seen{}
 	for n, m := range c.members {
 		if m.life > 0 {
-			seen[c.terms.Members[n]] = Seen{m.life, m.token, m.kept, m.was.Life, m.was.Token, m.was.Kept}
+			seen[c.terms.Members[n]] = Seen{Life: m.life, Token: m.token, Kept: m.kept,
+				WasLife: m.was.Life, WasToken: m.was.Token, WasKept: m.was.Kept}
 		}
 	}
 	return seen
@@ -178,10 +186,7 @@
 }
 
 // Seen is how far another dispatcher had come in an earlier life of this one, or how far this one had.
-type Seen struct {
-	Life, Token, Kept          uint64
-	WasLife, WasToken, WasKept uint64 // and in the life before that
-}
+type Seen = store.Seen
 
 // Was is what the disk told of before.
 type Was struct {
@@ -190,6 +195,15 @@
 	Seen       map[string]Seen // what it had heard of others
 }
 
+// WasOf is what a folder held; bad tells whether keys may be missing.
+func WasOf(found store.Found, bad bool) Was {
+	was := Was{Life: found.Life.Life, Kept: found.Kept, Bad: bad}
+	if found.Facts != nil {
+		was.Seen = found.Facts.Seen
+	}
+	return was
+}
+
 // Stored tells which life this is, as the store has made durable or could not.
 func (c *Core) Stored(now time.Duration, life, token uint64, was Was) {
 	c.now = now
@@ -451,7 +465,7 @@
 		return
 	}
 	c.rival(msg)
-	c.out.Heard = append(c.out.Heard, msg)
+	c.out.Heard = append(c.out.Heard, Heard{from, msg})
 	if m.parts == nil || len(m.parts) != int(msg.Parts) {
 		m.parts = make([]bool, msg.Parts)
 	}
@@ -515,7 +529,7 @@
 // Reply is the answer to a question, with what is known here.
 func (c *Core) Reply(q Question, k Known) []link.Message {
 	first := *c.message(link.Answer, q.Number)
-	first.List, first.Bears, first.KeysBad = k.List, k.Bears, c.keysBad
+	first.Bears, first.KeysBad = k.Bears, c.keysBad
 	first.Unsure = !c.vouched()
 	if m := &c.members[q.From]; m.life > 0 {
 		first.YourLife, first.YourToken, first.YourKept = m.life, m.token, m.kept
@@ -538,7 +552,6 @@
 
 // Known is what a dispatcher knows, for others.
 type Known struct {
-	List    int64
 	Bears   map[string]float64
 	Workers []link.Worker
 	Keys    []link.Key
--- a/internal/fleet/recovery/core_test.go
+++ b/internal/fleet/recovery/core_test.go
@@ -257,7 +257,7 @@
 	told := c.Reply(q, Known{})[0]
 	assert.Equal(t, []uint64{4, 44, 17}, []uint64{told.YourLife, told.YourToken, told.YourKept})
 	assert.EqualValues(t, longAgo, told.Heard)
-	assert.Equal(t, Seen{5, 55, 0, 4, 44, 17}, c.Seen()["d1"], "also after an end of this one")
+	assert.Equal(t, Seen{Life: 5, Token: 55, WasLife: 4, WasToken: 44, WasKept: 17}, c.Seen()["d1"], "also after an end of this one")
 }
 
 // Guards against one that serves before those are back who would know its disk for old.
--- a/internal/fleet/recovery/trust.go
+++ b/internal/fleet/recovery/trust.go
@@ -72,7 +72,7 @@
 	{FactShares, "customers' traffic", "facts, every interval", time.Minute, true, true,
 		"nobody", "all within their shares", "shares settle within sixteen landings"},
 	{FactSent, "work sent to cold workers within the span", "not at all", 0, false, false,
-		"others that serve", "a cold worker's whole budget: nothing goes there for one span",
+		"nobody", "a cold worker's whole budget: nothing goes there for one span",
 		"nothing: it is the most that it can have been"},
 	{FactSettings, "settings", "a hash, with the facts", 0, false, true,
 		"the configuration, which alone counts", "as configured",
--- a/internal/fleet/simulate/node.go
+++ b/internal/fleet/simulate/node.go
@@ -29,7 +29,7 @@
 	store   *store.Store
 	durable uint64 // the life that is on disk
 	failed  bool   // the disk has: no life is on it
-	pending []*link.Message
+	pending []recovery.Heard
 	applied bool
 }
 
@@ -77,13 +77,7 @@
 		n.failed = true
 	}
 	n.durable = life.Life
-	was := recovery.Was{Life: found.Life.Life, Kept: found.Kept, Bad: bad, Seen: map[string]recovery.Seen{}}
-	if found.Facts != nil {
-		for name, far := range found.Facts.Seen {
-			was.Seen[name] = recovery.Seen(far)
-		}
-	}
-	n.core.Stored(n.now(), life.Life, token, was)
+	n.core.Stored(n.now(), life.Life, token, recovery.WasOf(found, bad))
 	n.core.Listed(n.now(), false)
 	n.settle()
 	n.tick(n.life)
@@ -130,11 +124,7 @@
 		return
 	}
 	if n.applied {
-		seen := map[string]store.Seen{}
-		for name, far := range n.core.Seen() {
-			seen[name] = store.Seen(far)
-		}
-		n.store.Learn(store.Facts{At: n.wall(), Learnt: []byte("{}"), Seen: seen})
+		n.store.Learn(store.Facts{At: n.wall(), Learnt: []byte("{}"), Seen: n.core.Seen()})
 	}
 	n.w.after(time.Second, func() { n.learn(life) })
 }
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -31,11 +31,7 @@
 // write: it would put less in the place of more.
 func (n *Node) write() {
 	n.mu.Lock()
-	s, applied := n.store, n.applied
-	seen := map[string]store.Seen{}
-	for name, far := range n.core.Seen() {
-		seen[name] = store.Seen(far)
-	}
+	s, applied, seen := n.store, n.applied, n.core.Seen()
 	n.mu.Unlock()
 	if s == nil || !applied {
 		return
--- a/internal/fleet/store/disk.go
+++ b/internal/fleet/store/disk.go
@@ -87,18 +87,13 @@
 func (f *Folder) Write(name string, b []byte) error { return os.WriteFile(f.at(name), b, 0o600) }
 
 // Overwrite puts bytes over the beginning of a file.
-func (f *Folder) Overwrite(name string, b []byte) error {
-	file, err := os.OpenFile(f.at(name), os.O_CREATE|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	_, err = file.Write(b)
-	return errors.Join(err, file.Close())
-}
+func (f *Folder) Overwrite(name string, b []byte) error { return f.put(name, 0, b) }
 
 // Append adds to a file's end.
-func (f *Folder) Append(name string, b []byte) error {
-	file, err := os.OpenFile(f.at(name), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+func (f *Folder) Append(name string, b []byte) error { return f.put(name, os.O_APPEND, b) }
+
+func (f *Folder) put(name string, where int, b []byte) error {
+	file, err := os.OpenFile(f.at(name), os.O_CREATE|os.O_WRONLY|where, 0o600)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/store/memory.go
+++ b/internal/fleet/store/memory.go
@@ -33,14 +33,28 @@
 	return &Memory{now: map[string]*inode{}, durable: map[string]*inode{}}
 }
 
-func (m *Memory) step(writes bool) error {
+// step takes one step, unless power is lost before it or writes fail.
+func (m *Memory) step(take func() error) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.Steps++; m.CutAfter > 0 && m.Steps >= m.CutAfter {
 		return ErrCut
 	}
-	if writes {
+	if m.Fails != nil {
 		return m.Fails
 	}
-	return nil
+	return take()
+}
+
+// change takes a step that changes a file, made where there is none.
+func (m *Memory) change(name string, how func(*inode)) error {
+	return m.step(func() error {
+		if m.now[name] == nil {
+			m.now[name] = &inode{}
+		}
+		how(m.now[name])
+		return nil
+	})
 }
 
 // Restart is the disk after a loss of power: names and files as they were durable, and of what was added since
@@ -75,82 +89,53 @@
 
 // Write makes a file anew.
 func (m *Memory) Write(name string, b []byte) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if err := m.step(true); err != nil {
-		return err
-	}
-	m.now[name] = &inode{bytes: slices.Clone(b)}
-	return nil
+	return m.step(func() error {
+		m.now[name] = &inode{bytes: slices.Clone(b)}
+		return nil
+	})
 }
 
 // Overwrite puts bytes over the beginning of a file.
 func (m *Memory) Overwrite(name string, b []byte) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if err := m.step(true); err != nil {
-		return err
-	}
-	if m.now[name] == nil {
-		m.now[name] = &inode{}
-	}
-	i := m.now[name]
-	i.bytes = append(slices.Clone(b), i.bytes[min(len(b), len(i.bytes)):]...)
-	return nil
+	return m.change(name, func(i *inode) {
+		i.bytes = append(slices.Clone(b), i.bytes[min(len(b), len(i.bytes)):]...)
+	})
 }
 
 // Append adds to a file's end.
 func (m *Memory) Append(name string, b []byte) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if err := m.step(true); err != nil {
-		return err
-	}
-	if m.now[name] == nil {
-		m.now[name] = &inode{}
-	}
-	m.now[name].bytes = append(m.now[name].bytes, b...)
-	return nil
+	return m.change(name, func(i *inode) { i.bytes = append(i.bytes, b...) })
 }
 
 // Sync makes a file durable, unless it lies.
 func (m *Memory) Sync(name string) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if err := m.step(true); err != nil {
-		return err
-	}
-	if i := m.now[name]; i != nil && !m.Lies {
-		i.durable = slices.Clone(i.bytes)
-	}
-	return nil
+	return m.step(func() error {
+		if i := m.now[name]; i != nil && !m.Lies {
+			i.durable = slices.Clone(i.bytes)
+		}
+		return nil
+	})
 }
 
 // Rename puts a file in another's place.
 func (m *Memory) Rename(from, to string) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if err := m.step(true); err != nil {
-		return err
-	}
-	i := m.now[from]
-	if i == nil {
-		return fs.ErrNotExist
-	}
-	m.now[to] = i
-	delete(m.now, from)
-	return nil
+	return m.step(func() error {
+		i := m.now[from]
+		if i == nil {
+			return fs.ErrNotExist
+		}
+		m.now[to] = i
+		delete(m.now, from)
+		return nil
+	})
 }
 
 // Remove takes a file away.
 func (m *Memory) Remove(name string) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if err := m.step(true); err != nil {
-		return err
-	}
-	delete(m.now, name)
-	return nil
+	return m.step(func() error {
+		delete(m.now, name)
+		return nil
+	})
 }
 
 // Names are the files that there are.
@@ -162,13 +147,10 @@
 
 // SyncNames makes durable which files there are; what they hold is another matter.
 func (m *Memory) SyncNames() error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if err := m.step(true); err != nil {
-		return err
-	}
-	m.durable = maps.Clone(m.now)
-	return nil
+	return m.step(func() error {
+		m.durable = maps.Clone(m.now)
+		return nil
+	})
 }
 
 // Tear cuts a file off at some byte, both by chance.
--- a/internal/routing/back.go
+++ b/internal/routing/back.go
@@ -150,16 +150,13 @@
 	}
 }
 
-// Out is what is out here at each worker, by name, and the work sent there since a time.
-func (r *Router) Out(since decide.Time) (out map[string]int, sent map[string]decide.Work) {
-	out, sent = map[string]int{}, map[string]decide.Work{}
+// Out is what is out here at each worker, by name.
+func (r *Router) Out() map[string]int {
+	out := map[string]int{}
 	for _, l := range r.facade.Out(decide.Successor) {
 		out[r.fleet.id(l.Tgt)] = l.InFlight
 	}
-	for _, s := range r.facade.SpentSince(since) {
-		sent[r.fleet.id(s.Tgt)] += s.Work
-	}
-	return out, sent
+	return out
 }
 
 // Hear takes what another process has out at a worker, by its name.
