Lab and node share what both had: TOML faults, warmth by age, a folder's names

Found beside their twins: the wording of faults in TOML (fleet's settings, the lab's plan), warmth by age (the stand-in worker, the best time back), the regular files of a state folder (store, the lab's spoiled disks), and four ports taken with four checks; begin passed as a closure for one action; a map copied by hand.

Change: internal/strict decodes for both, so the fleet's file names a key as recovery.ask-every, no longer in brackets; worker.Cold.Warmth; Folder.Names leaves the lock out and the lab calls it; away plans both ends; maps.Clone.

--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -4,7 +4,6 @@
 package fleet
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -12,7 +11,7 @@
 	"path/filepath"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
+	"canvasroute/internal/strict"
 )
 
 // Span is a time in the file, such as "250ms".
@@ -80,8 +79,8 @@
 		return nil, err
 	}
 	s := usual()
-	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(s); err != nil {
-		return nil, placed(path, err)
+	if err := strict.Decode(path, text, s); err != nil {
+		return nil, err
 	}
 	if err := s.check(name, position, dispatchers); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
@@ -89,21 +88,6 @@
 	return s, nil
 }
 
-// placed words a fault in the text with its line.
-func placed(path string, err error) error {
-	var unknown *toml.StrictMissingError
-	var wrong *toml.DecodeError
-	switch {
-	case errors.As(err, &unknown) && len(unknown.Errors) > 0:
-		line, _ := unknown.Errors[0].Position()
-		return fmt.Errorf("%s:%d: unknown key %v", path, line, unknown.Errors[0].Key())
-	case errors.As(err, &wrong):
-		line, column := wrong.Position()
-		return fmt.Errorf("%s:%d:%d: %v: %w", path, line, column, wrong.Key(), err)
-	}
-	return fmt.Errorf("%s: %w", path, err)
-}
-
 func (s *Settings) check(name string, position, dispatchers int) (err error) {
 	if !filepath.IsAbs(s.State.Folder) {
 		return fmt.Errorf("state.folder: %q, must be a whole path", s.State.Folder)
--- a/internal/fleet/store/disk.go
+++ b/internal/fleet/store/disk.go
@@ -121,11 +121,11 @@
 // Remove takes a file away.
 func (f *Folder) Remove(name string) error { return os.Remove(f.at(name)) }
 
-// Names are the files that there are.
+// Names are the files that there are, but for the lock.
 func (f *Folder) Names() (names []string, err error) {
 	entries, err := os.ReadDir(f.path)
 	for _, e := range entries {
-		if e.Type().IsRegular() { // nothing else is ours
+		if e.Type().IsRegular() && e.Name() != lockName { // nothing else is ours
 			names = append(names, e.Name())
 		}
 	}
--- a/internal/lab/experiment/back.go
+++ b/internal/lab/experiment/back.go
@@ -10,6 +10,7 @@
 	"canvasroute/internal/lab/load"
 	"canvasroute/internal/lab/measure"
 	"canvasroute/internal/lab/trouble"
+	"canvasroute/internal/lab/worker"
 )
 
 // PhaseResult is a phase of a dispatcher's return, as its log tells.
@@ -61,16 +62,16 @@
 		var workers []measure.Worker
 		kinds, _, _ := p.sites()
 		for n := range kinds {
-			worker := measure.Worker{Cores: p.Fleet.Kinds[kinds[n]].Cores, Back: -1}
+			one := measure.Worker{Cores: p.Fleet.Kinds[kinds[n]].Cores, Back: -1}
 			for _, a := range t.Actions {
 				if a.Trouble == k && a.Do == trouble.WorkerReturn && slices.Contains(a.Targets, n) {
-					worker.Back = max(worker.Back, a.At)
+					one.Back = max(one.Back, a.At)
 				}
 			}
-			workers = append(workers, worker)
+			workers = append(workers, one)
 		}
 		backs = append(backs, measure.Returned(mark.From, r.Calls.Slots, every, wanted, workers,
-			measure.Warming{From: p.Fleet.ColdFrom, Ramp: p.Fleet.ColdRamp.D()}))
+			worker.Cold{From: p.Fleet.ColdFrom, Ramp: p.Fleet.ColdRamp.D()}))
 	}
 	return backs
 }
--- a/internal/lab/experiment/held.go
+++ b/internal/lab/experiment/held.go
@@ -27,10 +27,8 @@
 		return err
 	}
 	for _, file := range names {
-		if file != "lock" {
-			if err := disk.Remove(file); err != nil {
-				return err
-			}
+		if err := disk.Remove(file); err != nil {
+			return err
 		}
 	}
 	ms := by.Milliseconds()
@@ -63,7 +61,7 @@
 	p := w.process(n)
 	for ctx.Err() == nil && p.up() && w.left(n) {
 		// What was asked before JOIN is answered before it: the order of the two answers tells.
-		if answer, err := called(p.mgmt, "HEALTH"); err == nil && answer == "done\n" && w.left(n) {
+		if answer, err := called(p.mgmt, "HEALTH"); err == nil && answer == done && w.left(n) {
 			w.failed(fmt.Errorf("%s takes clients again, though an operator had told it to leave", dispatcherName(n)))
 			return
 		}
--- a/internal/lab/experiment/operators.go
+++ b/internal/lab/experiment/operators.go
@@ -23,6 +23,9 @@
 	yesWithin  = 6 * time.Second // for the second process of an upgrade to take clients
 )
 
+// done is what the door says to a call that was carried out, and to HEALTH where clients are taken.
+const done = "done\n"
+
 // called makes one call at an operators' door and returns all of the answer.
 func called(addr, call string) (string, error) {
 	c, err := net.DialTimeout("tcp", addr, callWithin)
@@ -43,7 +46,7 @@
 
 func (w *world) call(n int, call string) {
 	answer, err := called(w.process(n).mgmt, call)
-	if err == nil && answer != "done\n" {
+	if err == nil && answer != done {
 		err = fmt.Errorf("%s: %s answered %q", dispatcherName(n), call, answer)
 	}
 	w.failed(err)
@@ -87,7 +90,7 @@
 	}
 	for limit := time.Now().Add(yesWithin); ; {
 		answer, err := called(next.mgmt, "HEALTH")
-		if err == nil && (answer == "done\n" || w.left(n) && stays(answer)) {
+		if err == nil && (answer == done || w.left(n) && stays(answer)) {
 			break
 		}
 		if time.Now().After(limit) || ctx.Err() != nil {
--- a/internal/lab/experiment/plan.go
+++ b/internal/lab/experiment/plan.go
@@ -4,7 +4,6 @@
 package experiment
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"os"
@@ -12,13 +11,12 @@
 	"slices"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"canvasroute/internal/lab/load"
 	"canvasroute/internal/lab/rival"
 	"canvasroute/internal/lab/trouble"
 	"canvasroute/internal/lab/unit"
 	"canvasroute/internal/lab/worker"
+	"canvasroute/internal/strict"
 )
 
 // Plan is an experiment file.
@@ -130,9 +128,8 @@
 func Parse(path string, text []byte) (*Plan, error) {
 	p := usual()
 	p.place = filepath.Dir(path)
-	d := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := d.Decode(&p); err != nil {
-		return nil, placed(path, err)
+	if err := strict.Decode(path, text, &p); err != nil {
+		return nil, err
 	}
 	if err := p.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
@@ -140,32 +137,6 @@
 	return &p, nil
 }
 
-// placed words a fault in the text with its line.
-func placed(path string, err error) error {
-	var unknown *toml.StrictMissingError
-	var wrong *toml.DecodeError
-	if errors.As(err, &unknown) && len(unknown.Errors) > 0 {
-		e := unknown.Errors[0]
-		line, _ := e.Position()
-		return fmt.Errorf("%s:%d: unknown key %s", path, line, dotted(e.Key()))
-	}
-	if errors.As(err, &wrong) {
-		line, column := wrong.Position()
-		return fmt.Errorf("%s:%d:%d: %s: %w", path, line, column, dotted(wrong.Key()), err)
-	}
-	return fmt.Errorf("%s: %w", path, err)
-}
-
-func dotted(k toml.Key) (s string) {
-	for n, part := range k {
-		if n > 0 {
-			s += "."
-		}
-		s += part
-	}
-	return s
-}
-
 // Bounds on what one machine can play.
 const (
 	mostDispatchers = 32
--- a/internal/lab/experiment/power.go
+++ b/internal/lab/experiment/power.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"canvasroute/internal/fleet/link"
+	"canvasroute/internal/fleet/store"
 	"canvasroute/internal/lab/peernet"
 	"canvasroute/internal/lab/trouble"
 	"canvasroute/internal/lab/unit"
@@ -167,11 +168,11 @@
 func (w *world) spoil(n int, a trouble.Action) error {
 	p, rng := w.process(n), unit.Chance(w.seed, fmt.Sprint("disk ", n, " ", a.At))
 	names := func() (all []string) {
-		entries, _ := os.ReadDir(p.disk)
-		for _, e := range entries {
-			if e.Name() != "lock" && e.Type().IsRegular() { // a full disk of before has others
-				all = append(all, filepath.Join(p.disk, e.Name()))
-			}
+		if disk, err := store.ReadFolder(p.disk); err == nil {
+			all, _ = disk.Names() // a full disk of before has others too
+		}
+		for n := range all {
+			all[n] = filepath.Join(p.disk, all[n])
 		}
 		return all
 	}
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -169,30 +169,19 @@
 	w.listen, w.processes = nil, nil
 	var own, linked []netip.AddrPort
 	for n := range count {
-		at, err := freePort()
-		if err != nil {
-			return err
-		}
-		w.listen = append(w.listen, at)
-		peer, err := freePort()
-		if err != nil {
-			return err
+		var ports [4]netip.AddrPort
+		for k := range ports {
+			var err error
+			if ports[k], err = freePort(); err != nil {
+				return err
+			}
 		}
-		own = append(own, peer)
+		w.listen, own, linked = append(w.listen, ports[0]), append(own, ports[1]), append(linked, ports[2])
 		p, err := newProcess(dispatcherName(n), w.folder, w.command)
 		if err != nil {
 			return err
 		}
-		mgmt, err := freePort()
-		if err != nil {
-			return err
-		}
-		p.mgmt = mgmt.String()
-		at, err = freePort()
-		if err != nil {
-			return err
-		}
-		linked = append(linked, at)
+		p.mgmt = ports[3].String()
 		w.processes = append(w.processes, p)
 	}
 	d := &w.plan.Dispatchers
--- a/internal/lab/measure/back.go
+++ b/internal/lab/measure/back.go
@@ -1,6 +1,10 @@
 package measure
 
-import "time"
+import (
+	"time"
+
+	"canvasroute/internal/lab/worker"
+)
 
 // Worker is one that takes part in the return after a loss of power.
 type Worker struct {
@@ -8,12 +12,6 @@
 	Back  time.Duration // when it is back, negative for one that was never away
 }
 
-// Warming is how workers warm after a start.
-type Warming struct {
-	From float64 // the share of its capacity that one starts with
-	Ramp time.Duration
-}
-
 // Wanted is an invocation, for what it could earn at best.
 type Wanted struct {
 	At, Work, Objective time.Duration
@@ -35,15 +33,14 @@
 const backShare = 0.9
 
 // warmth is the share of its capacity that a worker has at a time.
-func (w Warming) warmth(k Worker, at time.Duration) float64 {
-	age := at - k.Back
+func (k Worker) warmth(c worker.Cold, at time.Duration) float64 {
 	switch {
-	case k.Back < 0 || w.Ramp <= 0 || age >= w.Ramp:
+	case k.Back < 0 || c.Ramp <= 0:
 		return 1
-	case age < 0:
+	case at < k.Back:
 		return 0
 	}
-	return w.From + (1-w.From)*age.Seconds()/w.Ramp.Seconds()
+	return c.Warmth(at - k.Back)
 }
 
 // Returned reckons how a fleet came back from a loss of power at a time. slots are what was measured, by when
@@ -54,7 +51,7 @@
 // slot than all cores do by their warmth. No program can do better by more than the spread of warmth between
 // workers.
 func Returned(lost time.Duration, slots []Slot, every time.Duration, wanted []Wanted, workers []Worker,
-	w Warming) Back {
+	c worker.Cold) Back {
 	last := lost
 	for _, k := range workers {
 		last = max(last, k.Back)
@@ -72,7 +69,7 @@
 	b.Before = earned / asked
 	best := make([]float64, len(slots))
 	for n := range slots {
-		best[n] = atBest(time.Duration(n)*every, every, wanted, workers, w)
+		best[n] = atBest(time.Duration(n)*every, every, wanted, workers, c)
 	}
 	share := func(n int) float64 { return slots[n].Earned / max(slots[n].Asked, 1e-9) }
 	b.Until = since(slots, last, b.Before, share)
@@ -96,11 +93,11 @@
 	return -1
 }
 
-func atBest(from, every time.Duration, wanted []Wanted, workers []Worker, w Warming) float64 {
+func atBest(from, every time.Duration, wanted []Wanted, workers []Worker, cold worker.Cold) float64 {
 	cores, does := 0.0, 0.0
 	for _, k := range workers {
 		cores += float64(k.Cores)
-		does += float64(k.Cores) * w.warmth(k, from+every/2)
+		does += float64(k.Cores) * k.warmth(cold, from+every/2)
 	}
 	mean := does / max(cores, 1)
 	asked, earned, work := 0.0, 0.0, 0.0
--- a/internal/lab/measure/back_test.go
+++ b/internal/lab/measure/back_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"canvasroute/internal/lab/worker"
 )
 
 // Two workers of one core lose power at 2 s and are back, cold, at 3 s and 4 s; a call of 100 ms comes each 100 ms.
@@ -24,14 +26,14 @@
 		slots = append(slots, s)
 	}
 	workers := []Worker{{1, 3 * second}, {1, 4 * second}}
-	b := Returned(2*second, slots, second, wanted, workers, Warming{From: 0.1, Ramp: 9 * second})
+	b := Returned(2*second, slots, second, wanted, workers, worker.Cold{From: 0.1, Ramp: 9 * second})
 	assert.Equal(t, []float64{2, 4, 1, 9}, []float64{b.Lost, b.LastBack, b.Before, b.Until})
 	// By hand: a call takes its 200 ms at half of the warmth, which the mean of the two has at 7.5 s: the slot
 	// from 7 s on is the first whose middle is there. A second's work is one core: reached by then.
 	assert.Equal(t, 3.0, b.AtBest)
 	assert.InDelta(t, 10.0/4, b.Stretch, 1e-9)
 
-	never := Returned(2*second, slots[:10], second, wanted, workers, Warming{From: 0.1, Ramp: 9 * second})
+	never := Returned(2*second, slots[:10], second, wanted, workers, worker.Cold{From: 0.1, Ramp: 9 * second})
 	assert.Equal(t, -1.0, never.Until)
 	assert.Zero(t, never.Stretch)
 }
--- a/internal/lab/trouble/power.go
+++ b/internal/lab/trouble/power.go
@@ -34,8 +34,8 @@
 	for n := range max(p.spec.Times, 1) {
 		at := p.from() + time.Duration(n)*p.spec.Every.D()
 		p.do(at, PowerFails, dispatchers, 0)
-		p.after(at, p.spec.ListBack.D(), func() { p.do(at, ListAway, nil, 0) }, ListFine)
-		p.after(at, p.spec.PeersBack.D(), func() { p.do(at, PeersCut, nil, 0) }, PeersFine)
+		p.away(at, p.spec.ListBack.D(), ListAway, ListFine)
+		p.away(at, p.spec.PeersBack.D(), PeersCut, PeersFine)
 		for d, dispatcher := range dispatchers {
 			if slices.Contains(never, d) {
 				continue
@@ -65,10 +65,10 @@
 	return fmt.Sprintf("power lost: %d dispatchers, %d workers", len(dispatchers), len(workers))
 }
 
-// after plans an end, where there is one.
-func (p *planner) after(at, back time.Duration, begin func(), end Do) {
+// away plans that a service is away for a time, where there is one.
+func (p *planner) away(at, back time.Duration, begin, end Do) {
 	if back > 0 {
-		begin()
+		p.do(at, begin, nil, 0)
 		p.do(at+back, end, nil, 0)
 	}
 }
--- a/internal/lab/worker/machine.go
+++ b/internal/lab/worker/machine.go
@@ -27,6 +27,14 @@
 	Span     time.Duration
 }
 
+// Warmth is the share of its capacity that a worker has at an age.
+func (c Cold) Warmth(age time.Duration) float64 {
+	if c.Ramp <= 0 || age >= c.Ramp {
+		return 1
+	}
+	return c.From + (1-c.From)*age.Seconds()/c.Ramp.Seconds()
+}
+
 // Job is an invocation at a worker.
 type Job struct {
 	ID    string
@@ -110,11 +118,7 @@
 
 // Warmth is the share of its capacity that it has, by its age.
 func (m *Machine) Warmth(now time.Duration) float64 {
-	age := now - m.born
-	if m.cold.Ramp <= 0 || age >= m.cold.Ramp {
-		return 1
-	}
-	return m.cold.From + (1-m.cold.From)*age.Seconds()/m.cold.Ramp.Seconds()
+	return m.cold.Warmth(now - m.born)
 }
 
 // upTo is the work that one core at full pace does from the start to an age, in seconds.
--- a/internal/routing/hand.go
+++ b/internal/routing/hand.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"sync"
 	"syscall"
@@ -73,11 +74,7 @@
 func (c *carrying) out() map[int]*passage {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	all := map[int]*passage{}
-	for n, p := range c.passages {
-		all[n] = p
-	}
-	return all
+	return maps.Clone(c.passages)
 }
 
 // HandAll hands over what is open, as far as it can be just now: each of its forwards waits for its worker.
