After a restart nothing is sent by an old list, and calls come again within the 6 s term

Change: a list from before the start is not gone by, and health is not good, until the first call has ended, which begins within 2 s. Calls after failed ones begin within 4 s (2 s after an answer), a watch is silent after 2.7 s. A successor in an upgrade goes by its predecessor's list at once.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,36 +33,6 @@
 	zoneSilent  = 3      // forwards in a row that broke or found nobody in a zone, and none that began
 )
 
-func New(t Terms, seed uint64, link Link) *Dispatcher {
-	d := &Dispatcher{link: link, seed: seed, zone: t.Zone, share: 1 / float64(t.Dispatchers),
-		coldFrom: t.ColdFrom, multiple: t.FallMultiple, ramp: t.Ramp, span: t.FallSpan,
-		crossing: t.CrossCost, surplusShare: t.SurplusShare, margin: 2*t.Granularity + Second/1000,
-		askWithin: t.AskWithin, forwardsMost: t.ForwardsMost, askForList: t.AskForList,
-		cancels: t.MayCancel, copies: t.Copies, probes: t.Probes && t.ReportsOnProbe,
-		peers: t.Peers && t.Dispatchers > 1, startNotes: t.StartNotes, votes: make([][]int, t.Kinds),
-		perInv: t.ValueByInvocation, worstWeight: t.WorstOperation / 2, luck: 1, worst: -1, tellAt: never,
-		position: t.Position, dispatchers: t.Dispatchers, keepers: t.Dispatchers, every: 2 * Second,
-		atInFlight: t.ReportInFlight, atQueue: t.ReportQueue, atFree: t.ReportFree, wakeAt: never, patience: never}
-	d.spread = min(t.AskWithin*Time(t.Dispatchers)/askEvery, Time(askSpread*float64(t.AskWithin)))
-	if d.peers && t.TellCost > 0 { // told of each forward twice
-		d.keepers = min(max(int(tellMost/(2*t.TellCost)), 1), t.Dispatchers)
-	}
-	for _, o := range t.Operations {
-		d.ops = append(d.ops, newOperation(t, o))
-		d.patience = min(d.patience, o.Objective/10)
-		d.unit += max(float64(o.Objective), 1) / float64(len(t.Operations))
-	}
-	for _, c := range t.Customers {
-		d.customers = append(d.customers, c.Name)
-		d.quota, d.used, d.usedAt = append(d.quota, c.Quota*d.share), append(d.used, 0), append(d.usedAt, 0)
-	}
-	d.slots, d.most = slices.Repeat([]float64{slotsFirst}, t.Kinds), slices.Repeat([]float64{1}, t.Kinds)
-	for l := range d.turn {
-		d.turn[l] = int(d.chance() % (1 << 20))
-	}
-	return d
-}
-
 func (d *Dispatcher) Clock(now Time) { d.now = now }
 
 func (d *Dispatcher) Landed(inv Inv, l Landing) {
@@ -195,18 +165,22 @@
 	// It is overloaded or away: later and later, so as not to flood it. All have failed with us, and a call
 	// given up costs it as much as one that is answered: so all together no faster than at a start.
 	d.asks, d.subscribed = d.asks+1, false
-	wait := min(Second/2<<min(d.asks, 4)+d.spread<<min(d.asks-1, 4), d.askWithin*4/5)
+	// What it has to tell counts as told soon after it could be had again, whatever became of calls.
+	most := d.againWithin * Time(min(d.asks, 2)) / 2
+	wait := min(Second/2<<min(d.asks, 4)+d.spread<<min(d.asks-1, 4), most)
+	d.unsure, d.room = false, true
 	d.askAt = d.now + wait/4 + Time(d.chance()%uint64(wait*3/4+1))
 }
 
 // Listed takes a list or a change to it; answer tells whether it may be the answer to a subscription.
 func (d *Dispatcher) Listed(entries []Entry, whole, answer bool) {
 	if answer {
-		if d.asks, d.answered = 0, true; !d.subscribed {
+		if d.asks, d.answered, d.unsure = 0, true, false; !d.subscribed {
 			d.subscribed, d.followed = true, d.now
 		}
 	} else if len(entries) > 0 { // a list to start with: each of those that may start with us asks in its turn
 		d.askAt = d.now + d.spread*Time(d.position)/Time(d.dispatchers)
+		d.unsure = d.listFirst && !d.answered && d.asks == 0 // who drains or is gone may have been told since
 	}
 	for w := 0; whole && w < len(d.state); w++ {
 		d.state[w] = Gone
@@ -302,7 +276,8 @@
 	// Some open invocation may need its answer, or another forward.
 	{func(d *Dispatcher) Time { return when(d.open.live > 0, d.sweepAt) }, (*Dispatcher).sweep},
 	// Held invocations go where there is room.
-	{func(d *Dispatcher) Time { return when(d.room && len(d.held) > 0, d.now) }, (*Dispatcher).placeHeld},
+	{func(d *Dispatcher) Time { return when(d.room && !d.unsure && len(d.held) > 0, d.now) },
+		(*Dispatcher).placeHeld},
 	// Load reports come with probes alone, and each has its price: one for so many landings.
 	{func(d *Dispatcher) Time { return when(d.probes && len(d.ring) > 0 && d.landings >= d.probeAt, d.now) },
 		func(d *Dispatcher) {
--- a/decide/legacy.go
+++ b/decide/legacy.go
@@ -182,6 +182,7 @@
 	}
 	for n, f := range s.each {
 		f.Inherit(all[n])
+		f.with(func(d *Dispatcher) { d.unsure = false }) // the list is the predecessor's, who follows it
 	}
 	return true
 }
--- a/decide/state.go
+++ b/decide/state.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"iter"
+	"slices"
 )
 
 type operation struct {
@@ -78,6 +79,8 @@
 	surplusShare, crossing      float64
 	unit                        float64 // the work that one part of a cold worker's budget should hold
 	margin, askWithin, spread   Time    // spread: over which the dispatchers' calls for the list are spread
+	againWithin                 Time    // the longest wait after a call that failed
+	listFirst                   bool    // nothing is sent by a list from before the start, until a call has ended
 	ramp, span, patience        Time
 	forwardsMost, keepers       int
 	position, dispatchers       int
@@ -140,11 +143,47 @@
 	luck                     float64 // share of late reports with a slot free
 	blindAt                  Time    // no forward before it to workers that peers do not tell of
 	subscribed, answered     bool    // the list is followed; it has been, since the start
+	unsure                   bool    // the list is from before the start, and no call for it has ended
 	followed                 Time    // since when
 	asks, landings, probeAt  int     // probeAt: the count of landings
 	changed                  []Worker
 }
 
+// New makes a dispatcher, which has no list yet.
+func New(t Terms, seed uint64, link Link) *Dispatcher {
+	d := &Dispatcher{link: link, seed: seed, zone: t.Zone, share: 1 / float64(t.Dispatchers),
+		coldFrom: t.ColdFrom, multiple: t.FallMultiple, ramp: t.Ramp, span: t.FallSpan,
+		crossing: t.CrossCost, surplusShare: t.SurplusShare, margin: 2*t.Granularity + Second/1000,
+		askWithin: t.AskWithin, forwardsMost: t.ForwardsMost, askForList: t.AskForList,
+		cancels: t.MayCancel, copies: t.Copies, probes: t.Probes && t.ReportsOnProbe,
+		peers: t.Peers && t.Dispatchers > 1, startNotes: t.StartNotes, votes: make([][]int, t.Kinds),
+		perInv: t.ValueByInvocation, worstWeight: t.WorstOperation / 2, luck: 1, worst: -1, tellAt: never,
+		position: t.Position, dispatchers: t.Dispatchers, keepers: t.Dispatchers, every: 2 * Second,
+		atInFlight: t.ReportInFlight, atQueue: t.ReportQueue, atFree: t.ReportFree, wakeAt: never, patience: never}
+	d.spread = min(t.AskWithin*Time(t.Dispatchers)/askEvery, Time(askSpread*float64(t.AskWithin)))
+	if d.againWithin = t.AskWithin * 4 / 5; t.ToldWithin > 0 {
+		d.spread, d.againWithin = min(d.spread, t.ToldWithin/3), min(d.againWithin, t.ToldWithin*2/3)
+		d.listFirst = true
+	}
+	if d.peers && t.TellCost > 0 { // told of each forward twice
+		d.keepers = min(max(int(tellMost/(2*t.TellCost)), 1), t.Dispatchers)
+	}
+	for _, o := range t.Operations {
+		d.ops = append(d.ops, newOperation(t, o))
+		d.patience = min(d.patience, o.Objective/10)
+		d.unit += max(float64(o.Objective), 1) / float64(len(t.Operations))
+	}
+	for _, c := range t.Customers {
+		d.customers = append(d.customers, c.Name)
+		d.quota, d.used, d.usedAt = append(d.quota, c.Quota*d.share), append(d.used, 0), append(d.usedAt, 0)
+	}
+	d.slots, d.most = slices.Repeat([]float64{slotsFirst}, t.Kinds), slices.Repeat([]float64{1}, t.Kinds)
+	for l := range d.turn {
+		d.turn[l] = int(d.chance() % (1 << 20))
+	}
+	return d
+}
+
 // addWorker makes room for the figures about one more.
 func (d *Dispatcher) addWorker() {
 	d.hash, d.workerZone, d.kind = append(d.hash, 0), append(d.workerZone, 0), append(d.kind, 0)
--- /dev/null
+++ b/decide/told_test.go
@@ -0,0 +1,141 @@
+package decide
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// toldTerms are those of a platform on which a change counts as told 6 s after it could be had.
+func toldTerms(dispatchers, position int) Terms {
+	terms := someTerms
+	terms.AskForList, terms.ToldWithin = true, 6*Second
+	terms.Dispatchers, terms.Position = dispatchers, position
+	return terms
+}
+
+// Guards against work sent to a worker that has gone while this dispatcher was away: what counts as told does so
+// from the first moment of a new process.
+func TestNothingIsSentByAListFromBeforeTheStartUntilACallHasEnded(t *testing.T) {
+	for name, end := range map[string]func(*Dispatcher){
+		"answered": func(d *Dispatcher) { d.Listed([]Entry{{Tgt: 0, ID: "w", State: Gone}, {Tgt: 1, ID: "v"}}, false, true) },
+		"failed":   (*Dispatcher).ListFailed,
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := &book{}
+			d := New(toldTerms(3, 2), 1, b)
+			d.Clock(100 * Second)
+			d.Listed([]Entry{{Tgt: 0, ID: "w"}, {Tgt: 1, ID: "v"}}, true, false)
+			d.Landed(0, Landing{Grace: 10 * Second})
+			d.Settle()
+			assert.Empty(t, b.lines, "the list may be old")
+			d.Clock(d.askAt)
+			d.Settle()
+			assert.Equal(t, []string{"subscribe"}, b.lines)
+			end(d)
+			d.Settle()
+			assert.Contains(t, b.lines[1:], map[string]string{"answered": "forward 0 to 1",
+				"failed": fmt.Sprint("forward 0 to ", d.invs[0].forwards[0].tgt)}[name])
+			d.Listed([]Entry{{Tgt: 0, ID: "w"}}, false, false) // what others tell of does not hold up what is known
+			assert.False(t, d.unsure)
+		})
+	}
+}
+
+// Guards against a process that goes on for another one, whose list is followed, and would wait for its own.
+func TestSuccessorGoesByItsPredecessorsListAtOnce(t *testing.T) {
+	s := NewInstances(toldTerms(3, 2), 1, 1, func() Time { return 100 * Second }, func(string) {})
+	s.ReportList([]Entry{{Tgt: 0, ID: "w"}}, true, true)
+	assert.True(t, s.each[0].d.unsure)
+	assert.True(t, s.Inherit(s.Legacy()))
+	assert.False(t, s.each[0].d.unsure)
+}
+
+func TestListIsAskedForAgainInTimeWhateverBecameOfTheCallsBefore(t *testing.T) {
+	for _, n := range []int{1, 30, 350, 1024} {
+		for position := 0; position < n; position += 1 + n/10 {
+			d := New(toldTerms(n, position), uint64(position), &book{})
+			d.Clock(100 * Second)
+			d.Listed([]Entry{{ID: "w"}}, true, false)
+			assert.LessOrEqual(t, d.askAt-d.now, 2*Time(Second), "the first call")
+			for call := range 20 {
+				d.ListFailed()
+				within := 4 * Time(Second) // and 2 s at most for the answer
+				if call == 0 {
+					within = 2 * Second
+				}
+				assert.LessOrEqual(t, d.askAt-d.now, within, "%d dispatchers, call %d", n, call)
+				assert.Greater(t, d.askAt, d.now)
+			}
+			d.Listed(nil, false, true)
+			d.ListFailed() // a watch that has fallen silent has taken 3 s of the 6 already
+			assert.LessOrEqual(t, d.askAt-d.now, 2*Time(Second), "after an answer")
+		}
+	}
+}
+
+// outage is a list service that is down until a time, and then works through calls in turn; it turns away at once
+// what it would answer too late.
+type outage struct {
+	until, each, patience, freeAt Time
+	calls, turnedAway             int
+}
+
+func (o *outage) call(now Time) (at Time, list bool) {
+	if o.calls++; now < o.until {
+		return now + Second/500, false
+	}
+	if max(o.freeAt, now)+o.each > now+o.patience {
+		o.turnedAway++
+		return now + Second/500, false
+	}
+	o.freeAt = max(o.freeAt, now) + o.each
+	return o.freeAt, true
+}
+
+// Guards against dispatchers that learn too late of what changed while the list service was down. It can take one
+// call from each in 4 s.
+func TestAllAreToldInTimeOnceTheListServiceIsBack(t *testing.T) {
+	for n, most := range map[int]float64{3: 7, 30: 5, 350: 5} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			service := &outage{until: 108 * Second, each: 4 * Second / Time(n), patience: 2 * Second}
+			type asker struct {
+				d      *Dispatcher
+				answer Time
+				list   bool
+			}
+			var askers []*asker
+			for position := range n {
+				d := New(toldTerms(n, position), uint64(position), &book{})
+				d.Clock(100 * Second)
+				d.Listed([]Entry{{ID: "w"}}, true, true)
+				d.ListFailed() // all watches end as the service goes down
+				askers = append(askers, &asker{d: d, answer: never})
+			}
+			var told []Time
+			for now := Time(100 * Second); now < 130*Second; now += 20 {
+				for _, a := range askers {
+					a.d.Clock(now)
+					switch {
+					case a.answer <= now && a.list:
+						a.d.Listed([]Entry{{ID: "w"}}, true, true)
+						told, a.answer = append(told, now-service.until), never
+					case a.answer <= now:
+						a.d.ListFailed()
+						a.answer = never
+					case a.answer == never && !a.d.subscribed && a.d.askAt <= now:
+						a.answer, a.list = service.call(now)
+					}
+				}
+			}
+			if assert.Len(t, told, n) {
+				assert.LessOrEqual(t, slices.Max(told), 6*Time(Second))
+			}
+			assert.Less(t, float64(service.calls)/float64(n), most, "calls of each")
+			t.Logf("%d dispatchers: %.1f calls each, %d turned away, the last told after %v", n,
+				float64(service.calls)/float64(n), service.turnedAway, slices.Max(told).Duration())
+		})
+	}
+}
--- a/decide/types.go
+++ b/decide/types.go
@@ -97,6 +97,7 @@
 	Operations                                []OperationTerms
 	Customers                                 []CustomerTerms
 	Granularity, AskWithin, ComeBackMost      Time
+	ToldWithin                                Time // a change of the list counts as told then, whatever became of calls; 0: no such term
 	Ramp, FallSpan                            Time
 	ColdFrom, FallMultiple                    float64
 	SurplusShare, CrossCost                   float64
--- a/internal/program/placement.go
+++ b/internal/program/placement.go
@@ -31,6 +31,7 @@
 	usualAsk      = 10 * time.Second
 	usualTimeout  = 30 * time.Second
 	leastSockets  = 64
+	toldWithin    = 6 * decide.Second // the platform's term, which no setting tells
 	leastMemoryMB = 16
 )
 
@@ -102,6 +103,7 @@
 	// On sockets the list service never tells by itself, whatever the settings say of it.
 	p.Decisions.AskForList = true
 	p.Decisions.AskWithin = terms.Span(r.span(usualAsk, "settings", "rules", "askWithinS").Seconds())
+	p.Decisions.ToldWithin = toldWithin
 	p.Name = r.text("LB_NAME", "name")
 	p.Listen = r.address("LB_LISTEN", "listen").String()
 	p.Routing.Discovery = r.address("LB_DISCOVERY", "discovery").String()
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -15,7 +15,7 @@
 // A watch brings a line every two seconds. Told or not, what the list service has to tell counts as told six
 // seconds later, so a silent watch is given up while there is time to ask again.
 const (
-	silentAfter = 3 * time.Second
+	silentAfter = 2700 * time.Millisecond
 	callWithin  = 2500 * time.Millisecond // for the head of a watch: the service answers 503 before
 	firstWithin = 3500 * time.Millisecond // for its first line, from the call too
 	mostList    = 8 << 20                 // one line
