A client that has closed is known within 50 ms, as nothing may begin 0.1 s after it

Cause: the renewed term gives 0.1 s from a client's close, first or further forwards alike. One that ended its sending first, or whose end stands behind what it sent ahead, shows its close only to an interim answer, and these came each 100 ms, the looks after them each 20 ms (attend.go): known after 120 ms at worst.

Change: looks each 10 ms, interim answers each 30 ms.

--- a/internal/transport/attend.go
+++ b/internal/transport/attend.go
@@ -13,11 +13,11 @@
 )
 
 // How often a client that can bring nothing more is looked at, and how often it is sent something for that.
-// All together a client that has left is known in less than half of the 0.3 s after which nothing may be sent
+// All together a client that has left is known in less than half of the 0.1 s after which nothing may be sent
 // on for it.
 const (
-	lookEvery   = 20 * time.Millisecond
-	probeEvery  = 5         // looks
+	lookEvery   = 10 * time.Millisecond
+	probeEvery  = 3         // looks
 	mostUnread  = 32 << 10  // beyond it a client may have more on its way than the system takes in
 	probeWithin = lookEvery // for an interim answer to be written
 )
