Cold workers are shared by what lands, starts counted from arrival, late clients given time

Without hints all sizes were 0.

Ruled out: workers suspected down, lost zones, late lists, the rest after a full worker, non-idempotent work kept from what had failed.

Change: without messages each dispatcher sends to a cold worker by its part of what lands here (share.go); the network tells when a worker has a forward, and patience counts from then (reach.go, ReportTaken); a client that comes again waits an objective, behind what may be in time; sizes without hints are what was seen to run. A dispatcher with no list at all asks for one by itself (facade.Tick); nothing had it do so.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -30,6 +30,7 @@
 	tellMost    = 0.0125 // of an invocation's billed value goes into telling peers of it
 	askEvery    = 128    // calls for the list, of all dispatchers, in the time without asking that is allowed
 	askSpread   = 0.6    // of that time at most is taken for one call of each
+	reachTrust  = 3      // times the mean until a worker has what was sent: beyond it something is amiss
 	zoneSilent  = 3      // forwards in a row that broke or found nobody in a zone, and none that began
 )
 
@@ -42,11 +43,16 @@
 	*i = invocation{op: l.Operation, timeout: d.now + l.Grace - d.margin, forwards: i.forwards[:0],
 		latest: d.now - (o.longest - l.Grace) + o.objective, // counted from the client's first try
 		size:   Work(float64(l.Hint) * max(l.Slots, 1)), counts: d.counts(l.Customer)}
-	i.size = d.takeHint(i.size)
+	// Where no hints come, sizes are those that were seen.
+	i.size, i.late = cmp.Or(d.takeHint(i.size), Work(o.run)), d.now > i.latest
+	i.until = o.waits(d.now, i.latest)
 	if i.lane, _ = slices.BinarySearch(d.cuts, i.size+1); len(d.cuts) == 0 {
 		i.lane = both
 	}
 	o.mean += max(learn/4, 1/float64(1+o.landed)) * (float64(i.size) - o.mean)
+	if !i.late { // a client that comes again asks for nothing more than it did
+		d.firsts++
+	}
 	o.landed, o.asked, d.landings = o.landed+1, o.asked+float64(i.size), d.landings+1
 	o.density = o.value / math.Pow(max(o.mean, 1), d.perInv)
 	d.worth += o.density * float64(i.size)
@@ -64,7 +70,7 @@
 		d.lively(f.tgt)
 		d.alive(f)
 		d.touch(f.tgt)
-		d.fits(f.tgt, d.load(f.tgt), d.now-f.sent < d.patience)
+		d.fits(f.tgt, d.load(f.tgt), d.queued(f) < d.patience)
 	}
 }
 
@@ -190,11 +196,12 @@
 			d.addWorker()
 		}
 		for int(e.Zone) >= len(d.quiet) {
-			d.quiet, d.zoneAt = append(d.quiet, 0), append(d.zoneAt, 0)
+			d.quiet, d.zoneAt, d.reach = append(d.quiet, 0), append(d.zoneAt, 0), append(d.reach, Time(d.unit/reachTrust))
 		}
 		w, h := e.Tgt, fnv.New64a()
 		h.Write([]byte(e.ID))
 		if e.Born > d.born[w] { // a restart: what was known of the process is void, and it is cold
+			d.saves[w] = false
 			if d.born[w], d.fails[w], d.trialAt[w] = e.Born, 0, 0; e.Born >= d.endedAt[w] {
 				d.endedAt[w] = 0
 			}
@@ -380,8 +387,8 @@
 		fit := (!near || d.workerZone[w] == d.zone) && d.now >= d.zoneAt[d.workerZone[w]] &&
 			(o.kind < 0 || o.kind == d.kind[w]) &&
 			(o.repeat != NonIdempotent || d.fails[w] == 0 || d.now >= d.trialAt[w]+8*Second) && // no trial by it
-			// A cold worker is slow: nothing goes there that would be late by it.
-			float64(i.size)*(1/d.warmth(w)-1-o.slack) <= float64(o.objective) &&
+			// A cold worker is slow: nothing goes there that would be late by it alone.
+			(i.late || d.median == 0 || float64(i.size)*(1/d.warmth(w)-1-o.slack) <= float64(o.objective)) &&
 			// What is beyond a share leaves room to others.
 			float64(d.load(w)) < (1+i.counts)/2*d.slots[d.kind[w]]
 		if fit && d.idle(w) && !d.passedOver(p, w) && d.withinCold(w, i.size) && d.mayForward(i, w) {
@@ -433,8 +440,8 @@
 // withinCold keeps what all may send a cold worker within the span to its budget. Where peers tell, those
 // send there who are told of it, as long as fewer forwards are out there than its kind was seen to work on,
 // and none is larger than its part of the budget: what is out was sent within the span at the worst, and what
-// ended within it was no more than the worker can do. Without messages each of the first few ranks has a
-// part, more by its age; a part for each of many would hold no invocation.
+// ended within it was no more than the worker can do. Without messages each has its part of it; where there are
+// so many that a part would hold no invocation, each sends there by its part of what lands.
 func (d *Dispatcher) withinCold(w Worker, size Work) bool {
 	warmth := d.sureWarmth(w, size)
 	if warmth == 1 {
@@ -449,13 +456,10 @@
 		budget *= 1 - 1/d.multiple - coldSlack
 		return d.told(w) && float64(d.load(w)) < most && float64(size) <= budget/most && float64(sent) <= budget
 	}
-	budget *= 1 - coldMargin
-	ranks := min(max(math.Floor(budget/d.unit), 1), float64(d.dispatchers))
-	return d.rank(w) < int(ranks) && float64(sent) <= budget/ranks
-}
-
-func (d *Dispatcher) rank(w Worker) int {
-	return (int(d.hash[w]%uint64(d.dispatchers)) + d.position) % d.dispatchers
+	if part := budget * (1 - coldMargin) / float64(d.dispatchers); part >= d.unit {
+		return float64(sent) <= part
+	}
+	return d.credited(w, warmth) >= 1
 }
 
 // mayForward is the rule against double effects, for one more forward to w.
@@ -506,6 +510,9 @@
 // value is what a unit of work earns of all that is asked for, and of what the operation that lost most asks.
 func (d *Dispatcher) value(i *invocation) float64 {
 	v := d.ops[i.op].density
+	if i.late {
+		v *= d.ops[i.op].tardy
+	}
 	if i.op == d.worst {
 		v += d.worstWeight * d.worth / max(d.ops[i.op].asked, 1)
 	}
@@ -517,6 +524,11 @@
 	d.held, d.invs[inv].held = slices.Insert(d.held, n, inv), true
 }
 
+func (d *Dispatcher) letGo(inv Inv) {
+	n := slices.Index(d.held, inv)
+	d.held, d.invs[inv].held = slices.Delete(d.held, n, n+1), false
+}
+
 func (d *Dispatcher) forward(inv Inv, w Worker) {
 	i := &d.invs[inv]
 	i.forwards = append(i.forwards, forward{tgt: w, sent: d.now, out: true})
@@ -525,7 +537,7 @@
 	if d.startNotes {
 		d.waiting[w]++
 	}
-	d.spent[w] = append(d.spentSince(w), spend{at: d.now, work: i.size})
+	d.spent[w], d.credit[w] = append(d.spentSince(w), spend{at: d.now, work: i.size}), max(d.credit[w]-1, 0)
 	d.note(w)
 	d.link.Forward(inv, w, 0)
 }
@@ -534,13 +546,18 @@
 	d.sweepAt, d.room = d.now+d.patience, true
 	for inv := range d.open.latest() {
 		i := &d.invs[inv]
-		f, hopeless := d.unstarted(i), i.latest+Time(hintTrust*d.ops[i.op].slack*float64(i.size))
+		f, hopeless := d.unstarted(i), max(i.latest+Time(hintTrust*d.ops[i.op].slack*float64(i.size)), i.until)
+		if i.held && !i.late && d.now > i.latest { // it goes behind those that may still be in time
+			d.letGo(inv)
+			i.late = true
+			d.hold(inv)
+		}
 		switch {
-		case d.now >= i.timeout || i.out == 0 && d.now > i.latest, // also where no outcome comes, and where
+		case d.now >= i.timeout || i.out == 0 && d.now > i.until, // also where no outcome comes, and where
 			f != nil && d.now > hopeless && d.cancels && d.mayThrottle(i): // it clogs a worker's queue
 			d.giveUp(inv)
 		case len(d.held) > 0:
-		case f != nil && d.now-f.sent >= d.patience && d.now <= i.latest:
+		case f != nil && d.queued(f) >= d.patience && d.now <= i.latest:
 			d.rescue(inv, f)
 		case f == nil && i.out == 1 && d.overdue(i, i.forwards[len(i.forwards)-1]):
 			if w, ok := d.choose(i); ok && d.told(w) && float64(d.load(w)) < d.slots[d.kind[w]]/2 {
@@ -571,7 +588,11 @@
 // rescue moves a forward that sits unstarted, its worker being full after all, to one with room.
 func (d *Dispatcher) rescue(inv Inv, f *forward) {
 	i := &d.invs[inv]
-	d.fits(f.tgt, d.load(f.tgt), false)
+	if f.taken > 0 || !d.takes {
+		d.fits(f.tgt, d.load(f.tgt), false)
+	} else {
+		d.learnReach(f)
+	}
 	if !d.told(f.tgt) { // nobody tells what others have there: it is taken to be full for about one run
 		d.rest(f.tgt, d.meanRun(i.op))
 	}
@@ -610,8 +631,7 @@
 		}
 	}
 	if i.over = true; i.held {
-		n := slices.Index(d.held, inv)
-		d.held, i.held = slices.Delete(d.held, n, n+1), false
+		d.letGo(inv)
 	}
 	d.dropOpen(inv)
 }
--- a/decide/facade.go
+++ b/decide/facade.go
@@ -192,6 +192,15 @@
 	t.sent[n] = true
 }
 
+// ReportTaken tells that the worker has forward n, whether it has begun it or not.
+func (t *Ticket) ReportTaken(n int) {
+	t.f.with(func(d *Dispatcher) {
+		if !t.reported[n] {
+			d.Taken(t.inv, n)
+		}
+	})
+}
+
 // ReportStart tells that the worker has begun forward n.
 func (t *Ticket) ReportStart(n int) {
 	t.f.with(func(d *Dispatcher) {
@@ -243,8 +252,10 @@
 	}
 }
 
-// Tick blocks until ctx ends, and goes through the rules whenever one comes due by time alone.
+// Tick blocks until ctx ends, and goes through the rules whenever one comes due by time alone. It does so at once,
+// as one may be due from the start: without a list to start with nothing else would ever have it asked for.
 func (f *Facade) Tick(ctx context.Context) error {
+	f.with(func(*Dispatcher) {})
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- a/decide/hand.go
+++ b/decide/hand.go
@@ -13,6 +13,7 @@
 	Objective        Time
 	Window, ComeBack Time
 	Value, Slack     float64
+	Tardy            float64
 	Repeat           Repeat
 	Scope            Scope
 	Kind             Kind
@@ -43,7 +44,7 @@
 		i := &d.invs[t.inv]
 		o := &d.ops[i.op]
 		ok = true
-		a = Adopted{o.name, o.objective, o.window, o.comeBack, o.value, o.slack, o.repeat, o.scope, o.kind, t.until,
+		a = Adopted{o.name, o.objective, o.window, o.comeBack, o.value, o.slack, o.tardy, o.repeat, o.scope, o.kind, t.until,
 			i.latest, i.size, i.counts, i.beyond, d.forwardsMost, nil}
 		for _, f := range i.forwards {
 			a.Forwards = append(a.Forwards, AdoptedForward{f.tgt, f.sent, f.started, f.out, f.ran})
@@ -88,13 +89,15 @@
 	i := &d.invs[inv]
 	*i = invocation{op: op, timeout: d.now + grace - d.margin, latest: a.Latest, size: a.Size, counts: a.Counts,
 		forwards: i.forwards[:0], lane: both}
+	i.until, i.late = d.ops[op].waits(d.now, a.Latest), d.now > a.Latest
 	i.beyond = d.forwardsMost - min(a.Most-a.Beyond, d.forwardsMost)
 	if len(d.cuts) > 0 {
 		i.lane, _ = slices.BinarySearch(d.cuts, i.size+1)
 	}
 	d.addOpen(inv)
 	for _, f := range a.Forwards {
-		i.forwards = append(i.forwards, forward{f.Tgt, f.Sent, f.Started, f.Out, f.Ran})
+		i.forwards = append(i.forwards,
+			forward{tgt: f.Tgt, sent: f.Sent, started: f.Started, out: f.Out, ran: f.Ran})
 		if !f.Out {
 			continue
 		}
@@ -114,7 +117,7 @@
 // operation is the one that it landed with.
 func (a *Adopted) operation() operation {
 	return operation{name: a.Name, objective: a.Objective, window: a.Window, comeBack: a.ComeBack, value: a.Value,
-		slack: a.Slack, repeat: a.Repeat, scope: a.Scope, kind: a.Kind}
+		slack: a.Slack, tardy: a.Tardy, repeat: a.Repeat, scope: a.Scope, kind: a.Kind}
 }
 
 // Adopt goes on with an invocation that another process has handed over, each instance in turn. All of them
--- /dev/null
+++ b/decide/starved_test.go
@@ -0,0 +1,145 @@
+package decide
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// far is a dispatcher whose caller tells when a worker has a forward.
+func far() (*Dispatcher, *book) {
+	b := &book{}
+	terms := someTerms
+	terms.Takes, terms.ReportFree = true, -1
+	d := New(terms, 1, b)
+	d.Clock(100 * Second)
+	d.Listed([]Entry{{Tgt: 0, ID: "w0"}, {Tgt: 1, ID: "w1"}}, true, true)
+	return d, b
+}
+
+// Guards against an operation of a short objective that is hardly served, as each of its forwards is called off
+// before its worker could have told of a start.
+func TestForwardThatIsStillOnItsWayIsNotMoved(t *testing.T) {
+	d, b := far()
+	d.Landed(0, Landing{Grace: 10 * Second, Hint: 100})
+	d.Settle()
+	assert.Len(t, b.lines, 1)
+	d.Clock(d.now + d.patience)
+	d.Settle()
+	assert.Len(t, b.lines, 1, "it need not have arrived yet")
+	d.Taken(0, 0)
+	d.Clock(d.now + d.patience - 1)
+	d.Settle()
+	assert.Len(t, b.lines, 1)
+	d.Clock(d.now + d.patience)
+	d.Settle()
+	assert.Len(t, b.lines, 3, "it waits behind others there")
+	assert.Equal(t, "cancel 0.0", b.lines[2])
+}
+
+// Guards against workers that say nothing at all, and against a figure that no forward could ever raise.
+func TestForwardThatNeverArrivesMovesOnceItWouldHave(t *testing.T) {
+	d, b := far()
+	for range 50 { // near workers have what is sent after 10 ms
+		d.reach[0] = 100
+	}
+	d.Landed(0, Landing{Grace: 10 * Second, Hint: 100})
+	d.Settle()
+	d.Clock(d.now + d.patience + reachTrust*100)
+	d.Settle()
+	assert.Len(t, b.lines, 3)
+	assert.Greater(t, d.reach[0], Time(100), "those on their way teach as well")
+	for range 1000 {
+		d.reach[0] = min(d.reach[0]*2, d.span)
+		d.learnReach(&forward{sent: d.now - 100*Second})
+	}
+	assert.LessOrEqual(t, d.reach[0], d.span/8)
+}
+
+func TestStartAsAForwardArrivesTellsOfAFreeSlotHoweverFarItIs(t *testing.T) {
+	d, _ := far()
+	for inv := range Inv(4) {
+		d.Landed(inv, Landing{Grace: 10 * Second, Hint: 100})
+		d.Settle()
+		d.Clock(d.now + 3*d.patience)
+		d.Taken(inv, 0)
+		d.Started(inv, 0)
+		d.Ended(inv, 0, Succeeded, true)
+	}
+	assert.Positive(t, d.votes[0][1], "starts at once at a load of one")
+}
+
+// Guards against a client that comes again after its objective, whose forward was called off in the moment in which
+// it was sent: however long it would have waited, it could never be served.
+func TestClientThatComesAgainLateIsGivenTheTimeToBeServed(t *testing.T) {
+	d, b := warmDispatcher(1, 1)
+	d.Landed(0, Landing{Grace: 20 * Second, Hint: 100})
+	d.Settle()
+	d.Started(0, 0)
+	d.Ended(0, 0, Succeeded, true)
+	d.Landed(0, Landing{Grace: 18 * Second, Hint: 100}) // a second after its objective
+	d.Settle()
+	assert.Equal(t, "forward 0 to 0", b.lines[1])
+	for until := d.now + d.ops[0].objective; d.now < until; {
+		d.Clock(d.now + d.patience/2)
+		d.Settle()
+		if d.now <= until {
+			assert.Len(t, b.lines, 2, "%d before its time", until-d.now)
+		}
+	}
+	d.Clock(d.now + d.patience)
+	d.Settle()
+	assert.Equal(t, []string{"throttle 0 back 20000", "cancel 0.0"}, b.lines[2:], "it clogs the worker's queue")
+
+	d.ops[0].tardy = 0 // a late answer earns nothing: it would only be in the way
+	d.Landed(0, Landing{Grace: 18 * Second, Hint: 100})
+	d.Clock(d.now + d.patience)
+	d.Settle()
+	assert.Contains(t, b.lines[4:], "throttle 0 back 20000")
+}
+
+// Guards against late work that keeps others from being in time.
+func TestWhatIsLateGoesBehindWhatMayBeInTime(t *testing.T) {
+	d, b := warmDispatcher(1, 1)
+	d.ops[0].value, d.ops[1].value, d.ops[0].tardy, d.ops[0].longest = 9, 8, 0.2, 20*Second
+	d.waiting[0] = 1
+	d.Landed(0, Landing{Grace: 20*Second - Second/2, Hint: 100}) // its client comes again
+	d.Landed(1, Landing{Operation: 1, Grace: 20 * Second, Hint: 100})
+	assert.Equal(t, []Inv{0, 1}, d.held)
+	d.Clock(d.now + Second/2 + 1)
+	d.sweepAt = d.now
+	d.Settle()
+	assert.Equal(t, []Inv{1, 0}, d.held, "it earns a fifth now")
+	d.waiting[0] = 0
+	d.touch(0)
+	d.room = true
+	d.Settle()
+	assert.Equal(t, []string{"forward 1 to 0"}, b.lines)
+}
+
+// Guards against figures that mean nothing where no hints come: what is lost, and of what, and what a cold worker
+// is sent.
+func TestWithoutHintsSizesAreWhatWasSeen(t *testing.T) {
+	d, _ := warmDispatcher(2, 1)
+	d.ops[0].run, d.ops[1].run, d.ops[1].value = 500, 4000, 8
+	for inv, op := range []Operation{0, 1} {
+		d.Landed(Inv(inv), Landing{Operation: op, Grace: 20 * Second})
+		assert.Equal(t, Work(d.ops[op].run), d.invs[inv].size)
+	}
+	d.Settle()
+	sent := Work(0)
+	for w := range d.spent {
+		for _, s := range d.spentSince(Worker(w)) {
+			sent += s.work
+		}
+	}
+	assert.Equal(t, Work(4500), sent)
+	d.giveUp(1)
+	assert.Equal(t, Operation(1), d.worst)
+	d.Landed(2, Landing{Operation: 0, Grace: 20 * Second})
+	for n := 0; n < 3; n++ {
+		d.giveUp(Inv(2))
+		d.Landed(2, Landing{Operation: 0, Grace: 20 * Second})
+	}
+	assert.Equal(t, Operation(1), d.worst, "three of four lost are less than one of one")
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -9,6 +9,7 @@
 
 type operation struct {
 	objective, window, longest, comeBack     Time    // longest: the longest grace seen, a first try's
+	tardy                                    float64 // the share of its billed value that a late answer earns
 	value, mean, density, asked, lost, slack float64 // mean: of the sizes landed
 	landed, runs                             int
 	run                                      float64 // how long what succeeded took, a running mean
@@ -20,16 +21,26 @@
 
 func newOperation(t Terms, o OperationTerms) operation {
 	op := operation{objective: o.Objective, slack: max(o.Stretch-1, 0), window: o.Window, name: o.Name,
-		value: o.Value, repeat: o.Repeat, scope: o.Scope, kind: o.Kind}
+		value: o.Value, repeat: o.Repeat, scope: o.Scope, kind: o.Kind, tardy: o.TardyShare}
 	if t.ComeBack && o.TardyShare > 0 { // a late answer still earns: better after the crush than soon
 		op.comeBack = t.ComeBackMost
 	}
 	return op
 }
 
+// waits is until when an invocation waits for its start: as long as that may keep the latency objective; and where a
+// late answer earns something a client that comes again waits as long as one that comes first, as its turn may come.
+func (o *operation) waits(now, latest Time) Time {
+	if o.tardy > 0 {
+		return max(latest, now+o.objective)
+	}
+	return latest
+}
+
 type forward struct {
 	tgt           Worker
 	sent, started Time
+	taken         Time // when its worker was heard to have it, 0 before that
 	out, ran      bool // ran: it is over and may have run
 }
 
@@ -38,6 +49,8 @@
 	over            bool
 	counts          float64 // less than 1 beyond its customer's share
 	latest, timeout Time    // the last start that may keep the latency objective, the last final answer
+	until           Time    // the last start that is waited for: later than latest where a late answer earns
+	late            bool    // it is worth what a late answer earns
 	size            Work
 	lane            int
 	forwards        []forward
@@ -80,6 +93,7 @@
 	unit                        float64 // the work that one part of a cold worker's budget should hold
 	margin, askWithin, spread   Time    // spread: over which the dispatchers' calls for the list are spread
 	againWithin                 Time    // the longest wait after a call that failed
+	takes                       bool    // the network tells when a worker has a forward
 	listFirst                   bool    // nothing is sent by a list from before the start, until a call has ended
 	ramp, span, patience        Time
 	forwardsMost, keepers       int
@@ -113,13 +127,17 @@
 	proved                      []Work // the largest that it has done at the pace of a warm one
 	toldOf                      []int  // what peers last were told
 	spent                       [][]spend
-	ring                        []Worker // those listed, by hash
+	credit                      []float64 // forwards that a cold one may get now from here, without messages
+	creditAt                    []int     // the count of firsts at which it was reckoned
+	saves                       []bool    // it is reckoned, since the start that the list tells of
+	ring                        []Worker  // those listed, by hash
 
 	elder, young []bool // by Peer: it has lived longer than we; it has not
 	alike        Time   // since when this one is back, where all lost power
 
 	quiet  []int  // by Zone: forwards in a row that broke or found nobody there
 	zoneAt []Time // by Zone: nothing goes there before it
+	reach  []Time // by Zone: until a worker there was heard to have what was sent, a running mean
 
 	heard [][]hearing
 	keep  [][2]int // the peers to be told: from, to, round the number of them
@@ -146,6 +164,9 @@
 	unsure                   bool    // the list is from before the start, and no call for it has ended
 	followed                 Time    // since when
 	asks, landings, probeAt  int     // probeAt: the count of landings
+	firsts                   int     // of landings: those of a client's first try
+	strong                   float64 // warm workers that all who are healthy are worth together
+	strongAt                 Time    // since when that was so
 	changed                  []Worker
 }
 
@@ -157,7 +178,7 @@
 		askWithin: t.AskWithin, forwardsMost: t.ForwardsMost, askForList: t.AskForList,
 		cancels: t.MayCancel, copies: t.Copies, probes: t.Probes && t.ReportsOnProbe,
 		peers: t.Peers && t.Dispatchers > 1, startNotes: t.StartNotes, votes: make([][]int, t.Kinds),
-		perInv: t.ValueByInvocation, worstWeight: t.WorstOperation / 2, luck: 1, worst: -1, tellAt: never,
+		takes: t.Takes, perInv: t.ValueByInvocation, worstWeight: t.WorstOperation / 2, luck: 1, worst: -1, tellAt: never,
 		position: t.Position, dispatchers: t.Dispatchers, keepers: t.Dispatchers, every: 2 * Second,
 		atInFlight: t.ReportInFlight, atQueue: t.ReportQueue, atFree: t.ReportFree, wakeAt: never, patience: never}
 	d.spread = min(t.AskWithin*Time(t.Dispatchers)/askEvery, Time(askSpread*float64(t.AskWithin)))
@@ -190,7 +211,8 @@
 	d.cell, d.state, d.born = append(d.cell, 0), append(d.state, Gone), append(d.born, 0)
 	d.own, d.waiting, d.others = append(d.own, 0), append(d.waiting, 0), append(d.others, 0)
 	d.fails, d.spent, d.trialAt = append(d.fails, 0), append(d.spent, nil), append(d.trialAt, 0)
-	d.openAt = append(d.openAt, 0)
+	d.openAt, d.credit, d.creditAt = append(d.openAt, 0), append(d.credit, 0), append(d.creditAt, 0)
+	d.saves = append(d.saves, false)
 	d.endedAt, d.aliveAt, d.proved = append(d.endedAt, 0), append(d.aliveAt, 0), append(d.proved, 0)
 	d.heard, d.keep, d.toldOf = append(d.heard, nil), append(d.keep, [2]int{}), append(d.toldOf, 0)
 }
--- /dev/null
+++ b/decide/sum_test.go
@@ -0,0 +1,187 @@
+package decide
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// release is a fleet of dispatchers that tell one another nothing, before workers of which six in ten have just
+// been replaced. Each slot of a new one is slow by its age; what finds no slot free waits in turn.
+type release struct {
+	now, born Time
+	rng       *rand.Rand
+	fleet     []*Dispatcher
+	settled   []Time
+	workers   []*stand
+	cancelled []*job
+	hints     bool
+	next      []Inv
+	mean      float64
+}
+
+type stand struct {
+	cold             bool
+	running, waiting []*job
+	sent             []Time
+	worst            float64 // the most that came within the span, over its budget and what is put down to chance
+	done, could      float64
+}
+
+const (
+	standSlots = 4
+	standWork  = Second / 5 // the mean of the sizes
+)
+
+type releaseLink struct {
+	book
+	r      *release
+	number int
+}
+
+func (l *releaseLink) Forward(inv Inv, tgt Worker, _ Time) {
+	r, d, w := l.r, l.r.fleet[l.number], l.r.workers[tgt]
+	size := float64(d.invs[inv].size)
+	if !r.hints {
+		size = r.size()
+	}
+	w.waiting = append(w.waiting, &job{from: d, inv: inv, n: len(d.invs[inv].forwards) - 1, left: size})
+	if w.sent = append(w.sent, r.now); w.cold {
+		w.sent = slices.DeleteFunc(w.sent, func(at Time) bool { return at <= r.now-d.span })
+		n := d.multiple * r.warmth(w) * standSlots * float64(d.span) / standWork
+		w.worst = max(w.worst, float64(len(w.sent))/(n+2*math.Sqrt(n)+2))
+	}
+}
+
+func (l *releaseLink) Cancel(inv Inv, n int) {
+	d := l.r.fleet[l.number]
+	w := l.r.workers[d.invs[inv].forwards[n].tgt]
+	off := func(j *job) bool { return j.from == d && j.inv == inv && j.n == n }
+	w.running, w.waiting = slices.DeleteFunc(w.running, off), slices.DeleteFunc(w.waiting, off)
+	l.r.cancelled = append(l.r.cancelled, &job{from: d, inv: inv, n: n})
+}
+
+func (r *release) size() float64 { return standWork * math.Exp(0.8*r.rng.NormFloat64()-0.32) }
+
+func (r *release) warmth(w *stand) float64 {
+	if d := r.fleet[0]; w.cold {
+		return min(1, d.coldFrom+(1-d.coldFrom)*float64(r.now-r.born)/float64(d.ramp))
+	}
+	return 1
+}
+
+// report gives a dispatcher one outcome, or a start.
+func (r *release) report(d *Dispatcher, do func()) {
+	d.Clock(r.now)
+	do()
+	d.Settle()
+}
+
+func (r *release) step() {
+	r.now += tick
+	for _, j := range r.cancelled {
+		r.report(j.from, func() { j.from.Ended(j.inv, j.n, Cancelled, j.from.invs[j.inv].over) })
+	}
+	r.cancelled = nil
+	for _, w := range r.workers {
+		for len(w.running) < standSlots && len(w.waiting) > 0 {
+			j := w.waiting[0]
+			w.running, w.waiting = append(w.running, j), w.waiting[1:]
+			r.report(j.from, func() { j.from.Started(j.inv, j.n) })
+		}
+		for _, j := range slices.Clone(w.running) {
+			by := min(j.left, r.warmth(w)*float64(tick))
+			if j.left, w.done = j.left-by, w.done+by; j.left <= 0 {
+				w.running = slices.DeleteFunc(w.running, func(o *job) bool { return o == j })
+				r.report(j.from, func() { j.from.Ended(j.inv, j.n, Succeeded, true) })
+				r.next[slices.Index(r.fleet, j.from)]++
+			}
+		}
+		w.could += standSlots * r.warmth(w) * float64(tick)
+	}
+	for _, d := range r.fleet {
+		if d.wakeAt <= r.now {
+			r.report(d, func() { d.Woke(uint64(d.wakeAt)) })
+		}
+	}
+}
+
+// playRelease lands work at a rate that fills a part of what all workers can do when they are warm; some dispatchers get
+// many times as much as others.
+func playRelease(n, workers int, part float64, seed uint64, change func(*Terms)) *release {
+	r := &release{now: 100 * Second, rng: rand.New(rand.NewPCG(seed, 1)), next: make([]Inv, n)}
+	var list []Entry
+	for w := range workers {
+		r.workers = append(r.workers, &stand{})
+		list = append(list, Entry{Tgt: Worker(w), ID: fmt.Sprintf("w%d", w)})
+	}
+	var traffic []float64
+	for number := range n {
+		terms := someTerms
+		terms.Dispatchers, terms.Position, terms.ReportFree, terms.FallMultiple = n, number, -1, 3
+		terms.ValueByInvocation = 1
+		change(&terms)
+		d := New(terms, seed+uint64(number), &releaseLink{r: r, number: number})
+		d.Clock(r.now)
+		d.Listed(list, true, true)
+		r.fleet = append(r.fleet, d)
+		traffic = append(traffic, math.Exp(r.rng.NormFloat64()))
+	}
+	total := 0.0
+	for _, share := range traffic {
+		total += share
+	}
+	landed := make([]Inv, n)
+	gap := standWork / (part * float64(workers*standSlots))
+	for at, end := float64(r.now), r.now+15*Second; r.now < end; {
+		for at += gap * r.rng.ExpFloat64(); float64(r.now) < at; {
+			r.step()
+			if r.born == 0 && r.now >= 105*Second { // a release, told to all at once
+				r.born = r.now
+				for w := range workers * 6 / 10 {
+					r.workers[w].cold, r.workers[w].sent, list[w].Born = true, nil, r.born
+					r.workers[w].done, r.workers[w].could = 0, 0
+				}
+				for _, d := range r.fleet {
+					r.report(d, func() { d.Listed(list[:workers*6/10], false, true) })
+				}
+			}
+		}
+		number, draw := 0, r.rng.Float64()*total
+		for ; draw > traffic[number]; number++ {
+			draw -= traffic[number]
+		}
+		l, d := Landing{Grace: 10 * Second}, r.fleet[number]
+		if r.hints = d.peers; r.hints {
+			l.Hint = Work(r.size())
+		}
+		inv := landed[number]
+		landed[number]++
+		r.report(d, func() { d.Landed(inv, l) })
+	}
+	return r
+}
+
+// Guards against cold workers that are pushed over by the sum of what many send, and against ones that nearly all
+// dispatchers leave alone: they are most of what there is after a release, and those left are then overrun.
+func TestColdWorkersAreUsedAndNotPushedOverByDispatchersThatTellOneAnotherNothing(t *testing.T) {
+	for _, n := range []int{3, 30, 300} {
+		for seed := range uint64(3) {
+			r := playRelease(n, 20, 0.55, seed, func(*Terms) {})
+			worst, done, could := 0.0, 0.0, 0.0
+			for _, w := range r.workers {
+				if w.cold {
+					worst, done, could = max(worst, w.worst), done+w.done, could+w.could
+				}
+			}
+			t.Logf("%d dispatchers, seed %d: at worst %.2f of what is let pass, %.2f of what they could do used", n, seed,
+				worst, done/could)
+			assert.Less(t, worst, 1.0, "%d dispatchers, seed %d", n, seed)
+			assert.Greater(t, done/could, 0.4, "%d dispatchers, seed %d", n, seed)
+		}
+	}
+}
--- a/decide/types.go
+++ b/decide/types.go
@@ -103,6 +103,7 @@
 	SurplusShare, CrossCost                   float64
 	AskForList, MayCancel, Copies, ComeBack   bool
 	Probes, Peers, StartNotes, ReportsOnProbe bool
+	Takes                                     bool    // the caller tells when a worker has a forward
 	WorstOperation                            float64 // its weight in the goal, against all else
 	ValueByInvocation                         float64 // 1 if billed value is for each, 0 if for a unit of work
 	ForwardsMost                              int
--- /dev/null
+++ b/internal/lab/command/terms_test.go
@@ -0,0 +1,236 @@
+package command
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Processes of the program before a list service that fails in some way, as the operators' terms have it.
+
+// lone is one process, the worker that it is to know, and the address of its list service.
+type lone struct {
+	listen, discovery, worker string
+	config                    string
+	cmd                       *exec.Cmd
+}
+
+func freeAddress(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// hosts is the list with the one worker.
+func (l *lone) hosts(seq int) string {
+	return fmt.Sprintf(`{"seq":%d,"whole":true,"hosts":[{"host":"w","dial":%q,"health":"Ready","born_ms":0}]}`, seq, l.worker)
+}
+
+// place writes the configuration of a process whose list service is not there yet.
+func place(t *testing.T, sockets int, known bool) *lone {
+	worker := http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		json.NewEncoder(w).Encode(map[string]string{"id": r.Header.Get("Req-Id"), "state": "done", "result": "made"})
+	})}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	go worker.Serve(ln)
+	t.Cleanup(func() { worker.Close() })
+	l := &lone{listen: freeAddress(t), discovery: freeAddress(t), worker: ln.Addr().String()}
+	list := ""
+	if known {
+		list = `"known":` + l.hosts(1) + ","
+	}
+	l.config = filepath.Join(t.TempDir(), "c.json")
+	assert.NoError(t, os.WriteFile(l.config, fmt.Appendf(nil, `{"name":"n","listen":%q,"discovery":%q,"seed":"1",%s
+"limits":{"sockets":%d},"settings":{"balancers":1,"policyLimits":{"maxForwards":2},
+"operations":[{"name":"a","repeat":"idempotent","latencyObjectiveS":1,"clientTimeoutS":3,"billedValue":1}]}}`,
+		l.listen, l.discovery, list, sockets), 0o600))
+	return l
+}
+
+// start runs the process under the limit on descriptors that its configuration tells of.
+func (l *lone) start(t *testing.T, sockets int) (began time.Time) {
+	l.cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s", sockets, os.Args[0]))
+	l.cmd.Env = append(os.Environ(), "LB_CONFIG="+l.config, "TMPDIR="+filepath.Dir(l.config))
+	assert.NoError(t, l.cmd.Start())
+	t.Cleanup(func() {
+		l.cmd.Process.Kill()
+		l.cmd.Wait()
+	})
+	return time.Now()
+}
+
+// ready waits until health is good.
+func (l *lone) ready(t *testing.T, within time.Duration) {
+	one := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	assert.Eventually(t, func() bool {
+		a, err := one.Get("http://" + l.listen + "/_health")
+		if err != nil {
+			return false
+		}
+		defer a.Body.Close()
+		return a.StatusCode == 200
+	}, within, 20*time.Millisecond, "it is not ready")
+}
+
+// asks sends one invocation over a connection of its own.
+func (l *lone) asks(id string) (status int, err error) {
+	c, err := net.DialTimeout("tcp", l.listen, time.Second)
+	if err != nil {
+		return 0, err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(3 * time.Second))
+	fmt.Fprintf(c, "POST /api HTTP/1.1\r\nReq-Id: %s\r\nReq-Kind: a\r\nReq-Deadline: 2\r\nContent-Length: 0\r\n\r\n", id)
+	b := make([]byte, 12)
+	if _, err := io.ReadFull(c, b); err != nil {
+		return 0, err
+	}
+	_, err = fmt.Sscanf(string(b), "HTTP/1.1 %d", &status)
+	return status, err
+}
+
+// service answers calls for the list in one way, and counts them.
+func (l *lone) service(t *testing.T, calls *atomic.Int64, answer http.HandlerFunc) {
+	ln, err := net.Listen("tcp", l.discovery)
+	assert.NoError(t, err)
+	s := http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		answer(w, r)
+	})}
+	go s.Serve(ln)
+	t.Cleanup(func() { s.Close() })
+}
+
+// watched answers a call by the list and an empty line each second.
+func (l *lone) watched(w http.ResponseWriter, r *http.Request) {
+	for line := l.hosts(2); ; line = "" {
+		fmt.Fprintln(w, line)
+		w.(http.Flusher).Flush()
+		select {
+		case <-time.After(time.Second):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// Guards against a restarted process that is not ready while its list service is down, silent or has too much to do.
+func TestRestartedProcessIsReadyInTimeWhateverItsListServiceDoes(t *testing.T) {
+	silent := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	busy := func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(2 * time.Second):
+			w.WriteHeader(503)
+		case <-r.Context().Done():
+		}
+	}
+	for name, answer := range map[string]func(*lone) http.HandlerFunc{
+		"up":     func(l *lone) http.HandlerFunc { return l.watched },
+		"silent": func(*lone) http.HandlerFunc { return silent },
+		"busy":   func(*lone) http.HandlerFunc { return busy },
+		"down":   nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := place(t, 128, true)
+			var calls atomic.Int64
+			if answer != nil {
+				l.service(t, &calls, answer(l))
+			}
+			for range 2 { // killed once, and started again
+				began := l.start(t, 128)
+				l.ready(t, 6*time.Second)
+				t.Logf("ready after %v", time.Since(began).Round(time.Millisecond))
+				status, err := l.asks("a1")
+				assert.NoError(t, err)
+				assert.Equal(t, 200, status)
+				assert.NoError(t, l.cmd.Process.Kill())
+				l.cmd.Wait()
+			}
+		})
+	}
+	t.Run("no list known, service slow to come up", func(t *testing.T) {
+		t.Parallel()
+		l := place(t, 128, false)
+		l.start(t, 128)
+		time.Sleep(3 * time.Second)
+		l.service(t, &atomic.Int64{}, l.watched)
+		l.ready(t, 6*time.Second)
+	})
+}
+
+// Guards against idle clients that fill the descriptors while the list service is down: a client that asks, the call
+// for the list, a connection to a worker and the health check all find one.
+func TestIdleClientsThatFillTheDescriptorsKeepNobodyOut(t *testing.T) {
+	const sockets, idle = 96, 300
+	l := place(t, sockets, true)
+	l.start(t, sockets)
+	l.ready(t, 6*time.Second)
+	filling, refused := make(chan struct{}), atomic.Int64{}
+	defer close(filling)
+	for range idle { // each comes again as soon as it is sent away
+		go func() {
+			for {
+				c, err := net.DialTimeout("tcp", l.listen, time.Second)
+				if err == nil {
+					go func() { <-filling; c.Close() }()
+					_, err = c.Read(make([]byte, 1))
+					c.Close()
+				}
+				if err != nil {
+					refused.Add(1)
+				}
+				select {
+				case <-filling:
+					return
+				case <-time.After(50 * time.Millisecond):
+				}
+			}
+		}()
+	}
+	open := func() int {
+		files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", l.cmd.Process.Pid))
+		if err != nil && !errors.Is(err, os.ErrNotExist) {
+			assert.NoError(t, err)
+		}
+		return len(files)
+	}
+	assert.Eventually(t, func() bool { return refused.Load() > idle }, 10*time.Second, time.Millisecond, "the descriptors are full")
+	answered := 0
+	serve := func(n int) {
+		for range n {
+			status, err := l.asks(fmt.Sprint("a", answered))
+			if assert.NoError(t, err) && assert.Equal(t, 200, status) {
+				answered++
+			}
+		}
+	}
+	serve(20)
+	l.ready(t, time.Second)
+	var calls atomic.Int64
+	back := time.Now()
+	l.service(t, &calls, l.watched)
+	assert.Eventually(t, func() bool { return calls.Load() > 0 }, 6*time.Second, time.Millisecond, "the list is asked for")
+	t.Logf("asked for %v after the return, %d descriptors open, %d sent away", time.Since(back).Round(time.Millisecond),
+		open(), refused.Load())
+	serve(20)
+	l.ready(t, time.Second)
+	assert.LessOrEqual(t, open(), sockets)
+	assert.NoError(t, l.cmd.Process.Signal(syscall.SIGTERM))
+	assert.NoError(t, l.cmd.Wait(), "%s", strings.TrimSpace(l.listen))
+}
--- a/internal/program/placement.go
+++ b/internal/program/placement.go
@@ -103,7 +103,7 @@
 	// On sockets the list service never tells by itself, whatever the settings say of it.
 	p.Decisions.AskForList = true
 	p.Decisions.AskWithin = terms.Span(r.span(usualAsk, "settings", "rules", "askWithinS").Seconds())
-	p.Decisions.ToldWithin = toldWithin
+	p.Decisions.ToldWithin, p.Decisions.Takes = toldWithin, true
 	p.Name = r.text("LB_NAME", "name")
 	p.Listen = r.address("LB_LISTEN", "listen").String()
 	p.Routing.Discovery = r.address("LB_DISCOVERY", "discovery").String()
--- a/internal/routing/forward.go
+++ b/internal/routing/forward.go
@@ -26,6 +26,7 @@
 func (r *Router) passage(c *carrying, choice decide.Choice) *passage {
 	return &passage{r: r, ctx: choice.Ctx, inv: c.inv, now: c.now, until: c.until, need: needs[choice.Repeat],
 		started: func() { c.ticket.ReportStart(choice.N) }, withdraw: c.ticket.Withdraw,
+		taken:  func() { c.ticket.ReportTaken(choice.N) },
 		sent:   func() { c.ticket.ReportSent(choice.N) },
 		parked: make(chan struct{}, 1), verdict: make(chan bool, 1), gone: make(chan struct{})}
 }
@@ -57,7 +58,8 @@
 	now      *settings
 	until    time.Time
 	need     transport.Need
-	used     bool // its connection had been used before
+	used     bool   // its connection had been used before
+	taken    func() // its worker has it
 	started  func()
 	sent     func()
 	withdraw func() // gives the invocation up
@@ -250,6 +252,7 @@
 		}
 		return how, "", body, nil
 	}
+	f.taken()
 	var pending []byte
 	broken := error(nil)
 	err = conn.Pieces(&body, func(data []byte) bool {
