Non-idempotent work is open to workers at their trial where nothing that failed ran

Cause: read, as suspect 3 of the starved class, and held by a test: rotate (decide.go) kept what may not run again from any worker that had failed once until 8 s after its trial, 9 to 16 s in all, also where the failure was a connection that never came up: after a cut all of a zone, at each dispatcher for itself, until its own idempotent work had succeeded there. What is sent to a worker that is out of reach never ran, so another forward is allowed.

Change: only failures that may have run (errors, resets) count for it, until a success or another process; a successor is told.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -85,7 +85,7 @@
 	}
 	switch how {
 	case Succeeded:
-		d.fails[w] = 0
+		d.fails[w], d.ruined[w] = 0, false
 		d.lively(w)
 		d.alive(f)
 		d.prove(w, i, d.now-max(f.sent, f.started))
@@ -97,7 +97,7 @@
 		if how == Refused {
 			d.ended(w)
 		}
-		if how != WorkerError {
+		if d.ruined[w] = d.ruined[w] || f.ran; how != WorkerError {
 			d.silent(w)
 		}
 		if d.fails[w] > 0 && d.now < d.trialAt[w] { // one failure ends all that is out there
@@ -201,7 +201,7 @@
 		w, h := e.Tgt, fnv.New64a()
 		h.Write([]byte(e.ID))
 		if e.Born > d.born[w] { // a restart: what was known of the process is void, and it is cold
-			d.saves[w] = false
+			d.saves[w], d.ruined[w] = false, false
 			if d.born[w], d.fails[w], d.trialAt[w] = e.Born, 0, 0; e.Born >= d.endedAt[w] {
 				d.endedAt[w] = 0
 			}
@@ -386,7 +386,8 @@
 	for n, w := range d.roomy(p) {
 		fit := (!near || d.workerZone[w] == d.zone) && d.now >= d.zoneAt[d.workerZone[w]] &&
 			(o.kind < 0 || o.kind == d.kind[w]) &&
-			(o.repeat != NonIdempotent || d.fails[w] == 0 || d.now >= d.trialAt[w]+8*Second) && // no trial by it
+			// What may not run again tries no worker out that may have run what failed there.
+			(o.repeat != NonIdempotent || d.fails[w] == 0 || !d.ruined[w] || d.now >= d.trialAt[w]+8*Second) &&
 			// A cold worker is slow: nothing goes there that would be late by it alone.
 			(i.late || d.median == 0 || float64(i.size)*(1/d.warmth(w)-1-o.slack) <= float64(o.objective)) &&
 			// What is beyond a share leaves room to others.
--- a/decide/legacy.go
+++ b/decide/legacy.go
@@ -50,6 +50,7 @@
 // LearntWorker is what is known of one worker beside the list.
 type LearntWorker struct {
 	Fails           int
+	Ruined          bool // what failed may have run
 	TrialAt, OpenAt Time
 	Heard           []Heard
 	Spent           []Spending
@@ -89,7 +90,7 @@
 		l.Zones = append(l.Zones, LearntZone{d.quiet[z], d.zoneAt[z]})
 	}
 	for w := range d.hash {
-		learnt := LearntWorker{Fails: d.fails[w], TrialAt: d.trialAt[w], OpenAt: d.openAt[w]}
+		learnt := LearntWorker{Fails: d.fails[w], Ruined: d.ruined[w], TrialAt: d.trialAt[w], OpenAt: d.openAt[w]}
 		for _, h := range d.heard[w] {
 			learnt.Heard = append(learnt.Heard, Heard{h.from, h.inFlight, h.at})
 		}
@@ -141,6 +142,7 @@
 
 func (d *Dispatcher) inheritWorker(w Worker, was LearntWorker) {
 	d.fails[w], d.trialAt[w], d.openAt[w] = was.Fails, was.TrialAt, was.OpenAt
+	d.ruined[w] = was.Ruined
 	for _, h := range was.Heard {
 		d.Heard(h.From, Load{w, h.InFlight})
 		d.heard[w][len(d.heard[w])-1].at = h.At
--- a/decide/starved_test.go
+++ b/decide/starved_test.go
@@ -168,3 +168,36 @@
 	}
 	assert.Equal(t, Operation(1), d.worst, "three of four lost are less than one of one")
 }
+
+// Guards against work that may not run again and is kept for many seconds from all workers of a zone that was cut off:
+// where what failed there never ran, its own failure there is harmless as well.
+func TestWorkerThatWasOutOfReachIsOpenToNonIdempotentWorkAtItsTrial(t *testing.T) {
+	for how, soon := range map[Outcome]bool{NoConnection: true, Refused: true, Reset: false, WorkerError: false} {
+		d, b := warmDispatcher(1, 1)
+		d.ramp = 0
+		for inv := Inv(0); d.fails[0] < 2; inv++ {
+			d.Clock(max(d.now, d.trialAt[0]))
+			d.Landed(inv, Landing{Grace: 20 * Second, Hint: 100})
+			d.Settle()
+			d.Ended(inv, 0, how, false)
+			d.Left(inv, -1)
+		}
+		b.lines = nil
+		d.Clock(d.trialAt[0])
+		d.Landed(7, Landing{Operation: 1, Grace: 20 * Second, Hint: 100})
+		d.Settle()
+		if soon {
+			assert.Equal(t, []string{"forward 7 to 0"}, b.lines, "outcome %d", how)
+			d.Ended(7, 0, NoConnection, false)
+			d.Clock(d.trialAt[0])
+			d.Landed(8, Landing{Grace: 20 * Second, Hint: 100})
+			d.Settle()
+			d.Ended(8, 0, WorkerError, false)
+			assert.True(t, d.ruined[0])
+		} else {
+			assert.Empty(t, b.lines, "outcome %d", how)
+		}
+		d.Listed([]Entry{{Tgt: 0, ID: "w0", Born: d.now}}, false, true)
+		assert.False(t, d.ruined[0], "another process")
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -125,6 +125,7 @@
 	born, trialAt, openAt       []Time // nothing goes there before: after a failure, in a queue
 	endedAt, aliveAt            []Time // when a process was seen to have ended, and the next one heard
 	own, waiting, others, fails []int
+	ruined                      []bool // what failed there since the last success may have run
 	proved                      []Work // the largest that it has done at the pace of a warm one
 	toldOf                      []int  // what peers last were told
 	spent                       [][]spend
@@ -213,7 +214,7 @@
 	d.own, d.waiting, d.others = append(d.own, 0), append(d.waiting, 0), append(d.others, 0)
 	d.fails, d.spent, d.trialAt = append(d.fails, 0), append(d.spent, nil), append(d.trialAt, 0)
 	d.openAt, d.credit, d.creditAt = append(d.openAt, 0), append(d.credit, 0), append(d.creditAt, 0)
-	d.saves = append(d.saves, false)
+	d.saves, d.ruined = append(d.saves, false), append(d.ruined, false)
 	d.endedAt, d.aliveAt, d.proved = append(d.endedAt, 0), append(d.aliveAt, 0), append(d.proved, 0)
 	d.heard, d.keep, d.toldOf = append(d.heard, nil), append(d.keep, [2]int{}), append(d.toldOf, 0)
 }
