A list service with too many callers is given time; all others are asked again within 4 s

Change: the network tells how a call ended (ListEnd): turned away after it had waited a second or more, failed, cut, or silent. Only the first is followed by the long waits of before, doubled from the third in a row on; a watch that fell silent by 2 s at most, all else by 4 s.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -171,9 +171,10 @@
 	// It is overloaded or away: later and later, so as not to flood it. All have failed with us, and a call
 	// given up costs it as much as one that is answered: so all together no faster than at a start.
 	d.asks, d.subscribed = d.asks+1, false
-	// What it has to tell counts as told soon after it could be had again, whatever became of calls.
-	most := d.againWithin * Time(min(d.asks, 2)) / 2
-	wait := min(Second/2<<min(d.asks, 4)+d.spread<<min(d.asks-1, 4), most)
+	wait := min(Second/2<<min(d.asks, 4)+d.spread<<min(d.asks-1, 4), d.askWithin*4/5<<min(max(d.busy-2, 0), 2))
+	if d.busy == 0 { // what it has to tell counts as told soon after it could be had again
+		wait = min(wait, d.againWithin/d.haste)
+	}
 	d.unsure, d.room = false, true
 	d.askAt = d.now + wait/4 + Time(d.chance()%uint64(wait*3/4+1))
 }
@@ -185,7 +186,7 @@
 			d.subscribed, d.followed = true, d.now
 		}
 	} else if len(entries) > 0 { // a list to start with: each of those that may start with us asks in its turn
-		d.askAt = d.now + d.spread*Time(d.position)/Time(d.dispatchers)
+		d.askAt = d.now + d.firstSpread*Time(d.position)/Time(d.dispatchers)
 		d.unsure = d.listFirst && !d.answered && d.asks == 0 // who drains or is gone may have been told since
 	}
 	for w := 0; whole && w < len(d.state); w++ {
--- a/decide/facade.go
+++ b/decide/facade.go
@@ -376,12 +376,28 @@
 	f.with(func(d *Dispatcher) { d.Listed(entries, whole, !known) })
 }
 
+// ListEnd is how a call for the list, or the watch that it began, ended.
+type ListEnd uint8
+
+const (
+	ListFailed ListEnd = iota // refused, given up, or not understood
+	ListBusy                  // turned away after it had waited in turn: the service has too many callers
+	ListCut                   // the watch had begun, and ended
+	ListSilent                // the watch had begun, and fell silent: some time ago
+)
+
 // ReportListLost tells that the list could not be had, or is no longer followed. What was asked for before is
 // answered by that: else it would be asked for again with no wait. Where the service had answered, and what
 // it told was cut, the wait begins anew: it is not overloaded, and what it has to tell counts as told.
-func (f *Facade) ReportListLost(answered bool) {
+func (f *Facade) ReportListLost(how ListEnd) {
 	f.with(func(d *Dispatcher) {
-		if answered {
+		if d.busy++; how != ListBusy {
+			d.busy = 0
+		}
+		if d.haste = 1; how == ListSilent {
+			d.haste = 2
+		}
+		if how == ListSilent || how == ListCut {
 			d.asks = 0
 		}
 		select {
--- a/decide/instances.go
+++ b/decide/instances.go
@@ -134,9 +134,9 @@
 }
 
 // ReportListLost tells that the list could not be had, or is no longer followed.
-func (s *Instances) ReportListLost(answered bool) {
+func (s *Instances) ReportListLost(how ListEnd) {
 	for _, f := range s.each {
-		f.ReportListLost(answered)
+		f.ReportListLost(how)
 	}
 }
 
--- a/decide/retune.go
+++ b/decide/retune.go
@@ -30,7 +30,8 @@
 	d.unit, d.surplusShare, d.crossing = fresh.unit, fresh.surplusShare, fresh.crossing
 	d.perInv, d.worstWeight = fresh.perInv, fresh.worstWeight
 	d.margin, d.askWithin, d.spread, d.patience = fresh.margin, fresh.askWithin, fresh.spread, fresh.patience
-	d.cancels, d.copies, d.againWithin = fresh.cancels, fresh.copies, fresh.againWithin
+	d.cancels, d.copies = fresh.cancels, fresh.copies
+	d.firstSpread, d.againWithin = fresh.firstSpread, fresh.againWithin
 	d.probes, d.keepers = fresh.probes, fresh.keepers
 	d.part()
 	d.room, d.sweepAt = true, d.now
--- a/decide/state.go
+++ b/decide/state.go
@@ -93,7 +93,7 @@
 	surplusShare, crossing      float64
 	unit                        float64 // the work that one part of a cold worker's budget should hold
 	margin, askWithin, spread   Time    // spread: over which the dispatchers' calls for the list are spread
-	againWithin                 Time    // the longest wait after a call that failed
+	firstSpread, againWithin    Time    // of first calls; the longest wait after a call that failed
 	takes                       bool    // the network tells when a worker has a forward
 	listFirst                   bool    // nothing is sent by a list from before the start, until a call has ended
 	ramp, span, patience        Time
@@ -163,6 +163,8 @@
 	luck                     float64 // share of late reports with a slot free
 	blindAt                  Time    // no forward before it to workers that peers do not tell of
 	subscribed, answered     bool    // the list is followed; it has been, since the start
+	busy                     int     // calls in a row that were turned away after a wait: there are too many
+	haste                    Time    // 2 after a watch that fell silent and was given up some time later, else 1
 	unsure                   bool    // the list is from before the start, and no call for it has ended
 	followed                 Time    // since when
 	asks, landings, probeAt  int     // probeAt: the count of landings
@@ -182,10 +184,10 @@
 		peers: t.Peers && t.Dispatchers > 1, startNotes: t.StartNotes, votes: make([][]int, t.Kinds),
 		takes: t.Takes, perInv: t.ValueByInvocation, worstWeight: t.WorstOperation / 2, luck: 1, worst: -1, tellAt: never,
 		position: t.Position, dispatchers: t.Dispatchers, keepers: t.Dispatchers, every: 2 * Second,
-		atInFlight: t.ReportInFlight, atQueue: t.ReportQueue, atFree: t.ReportFree, wakeAt: never, patience: never}
+		atInFlight: t.ReportInFlight, atQueue: t.ReportQueue, atFree: t.ReportFree, wakeAt: never, patience: never, haste: 1}
 	d.spread = min(t.AskWithin*Time(t.Dispatchers)/askEvery, Time(askSpread*float64(t.AskWithin)))
-	if d.againWithin = t.AskWithin * 4 / 5; t.ToldWithin > 0 {
-		d.spread, d.againWithin = min(d.spread, t.ToldWithin/3), min(d.againWithin, t.ToldWithin*2/3)
+	if d.firstSpread, d.againWithin = d.spread, t.AskWithin*4/5; t.ToldWithin > 0 {
+		d.firstSpread, d.againWithin = min(d.spread, t.ToldWithin/3), min(d.againWithin, t.ToldWithin*2/3)
 		d.listFirst = true
 	}
 	if d.peers && t.TellCost > 0 { // told of each forward twice
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -16,6 +16,7 @@
 // seconds later, so a silent watch is given up while there is time to ask again.
 const (
 	silentAfter = 2700 * time.Millisecond
+	busyAfter   = time.Second             // a call turned away later than that has waited in turn: it cost an answer
 	callWithin  = 2500 * time.Millisecond // for the head of a watch: the service answers 503 before
 	firstWithin = 3500 * time.Millisecond // for its first line, from the call too
 	mostList    = 8 << 20                 // one line
@@ -28,6 +29,9 @@
 	leave   context.CancelCauseFunc // nil while there is no watch
 }
 
+// errBusy is the end of a call that the list service turned away after it had waited.
+var errBusy = errors.New("list: the service has too many callers")
+
 // errMoved is the cause of the end of a watch on a list service that has moved.
 var errMoved = errors.New("list: the service has moved")
 
@@ -54,7 +58,7 @@
 		}
 		watching, leave := context.WithCancelCause(ctx)
 		answered, err := r.watch(watching, leave)
-		moved := r.watchEnded(watching, answered)
+		moved := r.watchEnded(watching, listEnd(answered, err))
 		leave(nil)
 		switch {
 		case ctx.Err() != nil:
@@ -72,10 +76,23 @@
 	}
 }
 
+// listEnd tells the decisions' sorts of ends apart.
+func listEnd(answered bool, err error) decide.ListEnd {
+	switch {
+	case errors.Is(err, errBusy):
+		return decide.ListBusy
+	case !answered:
+		return decide.ListFailed
+	case transport.Blame(err) == transport.TooSlow:
+		return decide.ListSilent
+	}
+	return decide.ListCut
+}
+
 // watchEnded reports the end of a watch, in one step with the look whether the service has moved. It guards
 // against a move that comes as a watch is lost, and whose call would wait for as long as one to the old
 // place.
-func (r *Router) watchEnded(watching context.Context, answered bool) (moved bool) {
+func (r *Router) watchEnded(watching context.Context, how decide.ListEnd) (moved bool) {
 	r.place.mu.Lock()
 	defer r.place.mu.Unlock()
 	r.place.leave = nil
@@ -85,7 +102,7 @@
 	if moved = errors.Is(context.Cause(watching), errMoved); moved {
 		r.facade.ReportListMoved()
 	} else {
-		r.facade.ReportListLost(answered)
+		r.facade.ReportListLost(how)
 	}
 	return moved
 }
@@ -127,7 +144,10 @@
 	if body, err = protocol.AnswerBody(&head); err != nil {
 		return body, transport.Malformed, err
 	}
-	if head.Status != 200 {
+	switch {
+	case head.Status == 503 && time.Since(began) >= busyAfter:
+		return body, transport.Unwanted, fmt.Errorf("%w: status %d", errBusy, head.Status)
+	case head.Status != 200:
 		return body, transport.Unwanted, fmt.Errorf("list: status %d", head.Status)
 	}
 	conn.Within(firstWithin - time.Since(began))
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -257,6 +257,21 @@
 	assert.True(t, r.settled.Load())
 }
 
+// Guards against calls that come again soon to a service that has too many, and against waits after one that is down.
+func TestCallThatWasTurnedAwayAfterAWaitIsToldFromOthers(t *testing.T) {
+	for wait, busy := range map[time.Duration]bool{0: false, busyAfter + 50*time.Millisecond: true} {
+		r := routerTo("127.0.0.1:1")
+		r.place.address = standIn(t, func(c net.Conn, _ *http.Request) {
+			time.Sleep(wait)
+			io.WriteString(c, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+		})
+		answered, err := r.watch(context.Background(), nil)
+		assert.False(t, answered)
+		assert.ErrorContains(t, err, "status 503")
+		assert.Equal(t, busy, listEnd(answered, err) == decide.ListBusy, "after %v", wait)
+	}
+}
+
 func TestWatchesThatFail(t *testing.T) {
 	for text, want := range map[string]string{
 		"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n": "status 503", chunked(`{"seq":x}`): "malformed",
