A worker whose process was seen to end is shared anew, and a release with leaving workers tested

Cause, read: what a dispatcher may send to a cold worker was reckoned on from an earlier start where a process was seen to end and no list told of it: all would have had one forward saved up at once (ended, decide.go). It begins anew there.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -144,7 +144,7 @@
 // long as no list is followed, the others in its zone may have ended with it (a power loss), but for those
 // where something runs; any start that a list tells of them later is newer.
 func (d *Dispatcher) ended(w Worker) {
-	d.endedAt[w], d.aliveAt[w], d.proved[w] = d.now, never, 0
+	d.endedAt[w], d.aliveAt[w], d.proved[w], d.saves[w] = d.now, never, 0, false
 	for _, o := range d.ring {
 		if !d.subscribed && d.workerZone[o] == d.workerZone[w] && d.endedAt[o] == 0 &&
 			d.own[o] <= d.waiting[o] {
--- a/decide/sum_test.go
+++ b/decide/sum_test.go
@@ -26,6 +26,7 @@
 // way is how a fleet is.
 type way struct {
 	hints, peers, restarts bool
+	leave                  bool    // nearly all that are warm leave at once, some seconds after the release
 	lost                   float64 // of its messages
 }
 
@@ -164,6 +165,15 @@
 					r.fleet[number], landed[number] = start(number), 0
 				}
 			}
+			if way.leave && r.born > 0 && r.now-r.born == 4*Second {
+				leaving := slices.Clone(list[workers*6/10+1:])
+				for n := range leaving {
+					leaving[n].State = Gone
+				}
+				for _, d := range r.fleet {
+					r.report(d, func() { d.Listed(leaving, false, true) })
+				}
+			}
 			if r.born == 0 && r.now >= 105*Second { // a release, told to all at once
 				r.born = r.now
 				for w := range workers * 6 / 10 {
@@ -197,6 +207,8 @@
 		"nothing told":                       {},
 		"hints":                              {hints: true},
 		"restarts":                           {restarts: true},
+		"warm ones leave":                    {leave: true},
+		"warm ones leave, hints":             {leave: true, hints: true},
 		"messages and hints":                 {peers: true, hints: true},
 		"messages":                           {peers: true},
 		"messages lost, hints, and restarts": {peers: true, hints: true, restarts: true, lost: 0.2},
