A cold worker gets its part as it falls due, and a first call for the list waits 0.7 s at most

Change: choose asks first for a cold worker whose part is due. A process that has a list goes by it once its first call has waited 0.7 s.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -369,12 +369,17 @@
 // choose turns the lane's rotation to the next worker with room, or borrows from the other parts. Those that it
 // hears nothing of are tried last, and not for a run after a full one; where none tell, near ones only at first.
 func (d *Dispatcher) choose(i *invocation) (Worker, bool) {
+	if !d.peers { // a cold worker gets its part as it falls due: saved up, all might send it theirs at once
+		if w, ok := d.rotate(i, all, true, true); ok {
+			return w, ok
+		}
+	}
 	for _, near := range [2]bool{d.crossing > 0 && (d.peers || len(i.forwards) == 0), false} {
 		for _, p := range [3]int{i.lane, both, all} {
 			if p == all && (d.luck < 0.5 || d.now < d.blindAt) {
 				continue
 			}
-			if w, ok := d.rotate(i, p, near); ok {
+			if w, ok := d.rotate(i, p, near, false); ok {
 				return w, true
 			}
 		}
@@ -382,18 +387,19 @@
 	return 0, false
 }
 
-func (d *Dispatcher) rotate(i *invocation, p int, near bool) (Worker, bool) {
+func (d *Dispatcher) rotate(i *invocation, p int, near, due bool) (Worker, bool) {
 	o := &d.ops[i.op]
 	for n, w := range d.roomy(p) {
 		fit := (!near || d.workerZone[w] == d.zone) && d.now >= d.zoneAt[d.workerZone[w]] &&
-			(o.kind < 0 || o.kind == d.kind[w]) &&
+			(o.kind < 0 || o.kind == d.kind[w]) && (!due || d.warmth(w) < 1) &&
 			// What may not run again tries no worker out that may have run what failed there.
 			(o.repeat != NonIdempotent || d.fails[w] == 0 || !d.ruined[w] || d.now >= d.trialAt[w]+8*Second) &&
 			// A cold worker is slow: nothing goes there that would be late by it alone.
 			(i.late || d.median == 0 || float64(i.size)*(1/d.warmth(w)-1-o.slack) <= float64(o.objective)) &&
 			// What is beyond a share leaves room to others.
 			float64(d.load(w)) < (1+i.counts)/2*d.slots[d.kind[w]]
-		if fit && d.idle(w) && !d.passedOver(p, w) && d.withinCold(w, i.size) && d.mayForward(i, w) {
+		if fit && d.idle(w) && !d.passedOver(p, w) && d.withinCold(w, i.size) && d.mayForward(i, w) &&
+			(!due || d.credit[w] >= 1) {
 			d.turn[p] = (n + 1) % len(d.parts[p])
 			return w, true
 		}
@@ -526,11 +532,6 @@
 	d.held, d.invs[inv].held = slices.Insert(d.held, n, inv), true
 }
 
-func (d *Dispatcher) letGo(inv Inv) {
-	n := slices.Index(d.held, inv)
-	d.held, d.invs[inv].held = slices.Delete(d.held, n, n+1), false
-}
-
 func (d *Dispatcher) forward(inv Inv, w Worker) {
 	i := &d.invs[inv]
 	i.forwards = append(i.forwards, forward{tgt: w, sent: d.now, out: true})
--- a/decide/facade.go
+++ b/decide/facade.go
@@ -408,6 +408,12 @@
 	})
 }
 
+// ReportListSlow tells that the first call for the list has not been answered for a while: what is known of workers
+// from before the start has to do.
+func (f *Facade) ReportListSlow() {
+	f.with(func(d *Dispatcher) { d.unsure, d.room = false, true })
+}
+
 // ReportListMoved tells that the list is to be had elsewhere from now on: it is asked for at once, however
 // long the wait was to be after calls to the old place.
 func (f *Facade) ReportListMoved() {
--- a/decide/instances.go
+++ b/decide/instances.go
@@ -140,6 +140,13 @@
 	}
 }
 
+// ReportListSlow tells that the first call for the list has not been answered for a while.
+func (s *Instances) ReportListSlow() {
+	for _, f := range s.each {
+		f.ReportListSlow()
+	}
+}
+
 // ReportListMoved tells that the list is to be had elsewhere from now on.
 func (s *Instances) ReportListMoved() {
 	for _, f := range s.each {
--- a/decide/landed.go
+++ b/decide/landed.go
@@ -44,3 +44,9 @@
 		}
 	}
 }
+
+// letGo takes an invocation out of those that wait for a worker.
+func (d *Dispatcher) letGo(inv Inv) {
+	n := slices.Index(d.held, inv)
+	d.held, d.invs[inv].held = slices.Delete(d.held, n, n+1), false
+}
--- a/decide/starved_test.go
+++ b/decide/starved_test.go
@@ -201,3 +201,36 @@
 		assert.False(t, d.ruined[0], "another process")
 	}
 }
+
+// Guards against parts that many dispatchers have saved up, each for the moment in which its rotation comes round, and
+// that all are sent once other workers are gone.
+func TestColdWorkerGetsItsPartAsItFallsDue(t *testing.T) {
+	terms := someTerms
+	terms.Dispatchers, terms.Position, terms.ReportFree = 200, 7, -1
+	d := New(terms, 1, &book{})
+	d.Clock(100 * Second)
+	list := []Entry{{Tgt: 0, ID: "w0", Born: d.now - 5*Second}}
+	for w := Worker(1); w < 20; w++ {
+		list = append(list, Entry{Tgt: w, ID: string(rune('a' + w))})
+	}
+	d.Listed(list, true, true)
+	for turn := range 20 {
+		d.Landed(Inv(turn), Landing{Grace: 20 * Second, Hint: 100})
+		for p := range d.turn {
+			d.turn[p] = turn
+		}
+		d.withinCold(0, 100)
+		d.credit[0] = 0.5
+		w, ok := d.choose(&d.invs[turn])
+		assert.True(t, ok)
+		assert.NotEqual(t, Worker(0), w, "not yet")
+		d.credit[0] = 1
+		w, _ = d.choose(&d.invs[turn])
+		assert.Equal(t, Worker(0), w, "wherever the rotation stands")
+	}
+	d.firsts += 1000
+	assert.True(t, d.withinCold(0, 100))
+	d.ended(0)
+	d.endedAt[0] = 0 // and a list has told of its start
+	assert.False(t, d.withinCold(0, 100), "its next process is shared anew: all would have saved up one for it")
+}
--- a/internal/lab/command/terms_test.go
+++ b/internal/lab/command/terms_test.go
@@ -32,8 +32,12 @@
 	others                    string // further workers in its list
 }
 
+// addresses counts those given out: each is of a host of its own, so that no client's port is ever taken for it.
+var addresses atomic.Int64
+
 func freeAddress(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	n := addresses.Add(1)
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 40+os.Getpid()%100, n/250, 1+n%250))
 	assert.NoError(t, err)
 	defer ln.Close()
 	return ln.Addr().String()
@@ -158,7 +162,7 @@
 			}
 			for range 2 { // killed once, and started again
 				began := l.start(t, 128)
-				l.ready(t, 6*time.Second)
+				l.ready(t, 2*time.Second)
 				t.Logf("ready after %v", time.Since(began).Round(time.Millisecond))
 				status, err := l.asks("a1")
 				assert.NoError(t, err)
--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -17,6 +17,7 @@
 const (
 	silentAfter = 2700 * time.Millisecond
 	busyAfter   = time.Second             // a call turned away later than that has waited in turn: it cost an answer
+	slowAfter   = 700 * time.Millisecond  // a first call that is not answered then
 	callWithin  = 2500 * time.Millisecond // for the head of a watch: the service answers 503 before
 	firstWithin = 3500 * time.Millisecond // for its first line, from the call too
 	mostList    = 8 << 20                 // one line
@@ -57,7 +58,16 @@
 			return nil
 		}
 		watching, leave := context.WithCancelCause(ctx)
+		// A service that is down or has too many callers answers the first call late or never: a process that
+		// has a list from before must not stand idle for as long.
+		slow := time.AfterFunc(slowAfter, func() {
+			if !r.settled.Load() && r.fleet.serves() {
+				r.facade.ReportListSlow()
+				r.settled.Store(true)
+			}
+		})
 		answered, err := r.watch(watching, leave)
+		slow.Stop()
 		moved := r.watchEnded(watching, listEnd(answered, err))
 		leave(nil)
 		switch {
