A test of the lab's sender makes its calls one after the other

Its calls were due 100 ms apart; with the first answered later than that the second took a connection of its own, which the stand-in serves only after the first has ended.

Change: each call is made once the one before is over. What is expected is the same.

--- a/internal/lab/sender/sender_test.go
+++ b/internal/lab/sender/sender_test.go
@@ -164,7 +164,9 @@
 		}
 	}()
 	s := senderTo(ln.Addr().String())
-	s.Run(context.Background(), every(100*ms, 400*ms))
+	for range 4 { // each once the one before is over: on a busy machine the second would else come before that
+		s.Run(context.Background(), []load.Arrival{{}})
+	}
 	assert.Equal(t, map[string]int64{"succeeded": 2, "broken": 2}, s.summary().Total.Answers,
 		"first; second on a new connection; third on a new one that ends; fourth on another that ends")
 }
