--- a/internal/lab/command/lab_test.go
+++ b/internal/lab/command/lab_test.go
@@ -284,13 +284,7 @@
 // Guards against an upgrade in which the old process is killed: the new one has the listener, and goes on alone.
 func TestNewProcessOfAnUpgradeOutlivesAKilledOldOne(t *testing.T) {
 	dir, self := t.TempDir(), os.Args[0]
-	free := func() string {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NoError(t, err)
-		defer ln.Close()
-		return ln.Addr().String()
-	}
-	listen, path := free(), filepath.Join(dir, "c.json")
+	listen, path := freeAddress(t), filepath.Join(dir, "c.json")
 	assert.NoError(t, os.WriteFile(path, fmt.Appendf(nil, `{"name":"n","listen":%q,"discovery":"127.0.0.1:9",
 "seed":"1",
 "known":{"seq":1,"whole":true,"hosts":[{"host":"w","dial":"127.0.0.1:9","health":"Ready"}]},
@@ -310,7 +304,7 @@
 		}, 5*time.Second, 5*time.Millisecond, want)
 	}
 	start := func() (cmd *exec.Cmd, mgmt string) {
-		mgmt = free()
+		mgmt = freeAddress(t)
 		cmd = exec.Command(self)
 		cmd.Env = append(os.Environ(), "LB_CONFIG="+path, "LB_MGMT="+mgmt, "TMPDIR="+dir)
 		assert.NoError(t, cmd.Start())
