--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -30,8 +30,9 @@
 
 // cases are the cases by name. Each returns the breaks of the rule that it saw.
 var cases = map[string]func(*bench) ([]string, error){
-	"desync":  runDesync,
-	"same-id": runSameID,
+	"desync":    runDesync,
+	"same-id":   runSameID,
+	"key-store": runKeyStore,
 }
 
 func main() {
