--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -28,11 +28,16 @@
 // errNotRun is the error of a case that could not run, or whose disruption did not take place.
 var errNotRun = errors.New("the case could not run")
 
-// cases are the cases by name. Each returns the breaks of the rule that it saw.
+// cases are the cases by name, and further trials that have no folder. Each returns the breaks of the rule that it saw.
 var cases = map[string]func(*bench) ([]string, error){
+	// The cases.
+	"leaving":   runLeaving,
 	"desync":    runDesync,
-	"same-id":   runSameID,
 	"key-store": runKeyStore,
+	// The further trials: see REPORT.md.
+	"same-id":     runSameID,
+	"leave-start": runLeaveStart,
+	"leave-kept":  runLeaveKept,
 }
 
 func main() {
