--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -31,10 +31,11 @@
 // cases are the cases by name, and further trials that have no folder. Each returns the breaks of the rule that it saw.
 var cases = map[string]func(*bench) ([]string, error){
 	// The cases.
-	"leaving":   runLeaving,
-	"desync":    runDesync,
-	"key-store": runKeyStore,
+	"leaving":     runLeaving,
+	"desync":      runDesync,
+	"missing-key": runMissingKey,
 	// The further trials: see REPORT.md.
+	"key-store":   runKeyStore,
 	"same-id":     runSameID,
 	"leave-start": runLeaveStart,
 	"leave-kept":  runLeaveKept,
