--- a/review/standins/bench.go
+++ b/review/standins/bench.go
@@ -287,6 +287,26 @@
 	return s, err
 }
 
+// editConfig changes the configuration, and replaces the file as a whole.
+func (s *site) editConfig(edit func(object)) error {
+	text, err := os.ReadFile(s.config)
+	if err != nil {
+		return err
+	}
+	var config object
+	if err := json.Unmarshal(text, &config); err != nil {
+		return err
+	}
+	edit(config)
+	if text, err = json.MarshalIndent(config, "", " "); err != nil {
+		return err
+	}
+	if err := os.WriteFile(s.config+".new", text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(s.config+".new", s.config)
+}
+
 func (s *site) close() {
 	s.discovery.close()
 	for _, w := range s.workers {
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -39,6 +39,8 @@
 	"same-id":     runSameID,
 	"leave-start": runLeaveStart,
 	"leave-kept":  runLeaveKept,
+	"two-groups":  runTwoGroups,
+	"endless":     runEndless,
 }
 
 func main() {
--- a/review/standins/missingkey.go
+++ b/review/standins/missingkey.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"net"
-	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -114,25 +113,10 @@
 
 // reload replaces the settings in the configuration file as a whole, and sends SIGHUP.
 func (s *site) reload(b *bench, p *process, settings object) error {
-	text, err := os.ReadFile(s.config)
-	if err != nil {
-		return err
-	}
-	var config object
-	if err := json.Unmarshal(text, &config); err != nil {
-		return err
-	}
-	config["settings"] = settings
-	if text, err = json.MarshalIndent(config, "", " "); err != nil {
-		return err
-	}
-	if err := os.WriteFile(s.config+".new", text, 0o600); err != nil {
-		return err
-	}
-	if err := os.Rename(s.config+".new", s.config); err != nil {
+	if err := s.editConfig(func(config object) { config["settings"] = settings }); err != nil {
 		return err
 	}
-	operations, _ := json.Marshal(settings["operations"]) // it was marshaled above
+	operations, _ := json.Marshal(settings["operations"]) // editConfig has marshaled it
 	b.record("operator", "new file, operations %s", operations)
 	p.signal(syscall.SIGHUP)
 	return nil
