Keep the successor alive when a migrated client has reset its connection

What callers saw: in a hot restart, if a client closed its connection some milliseconds before the predecessor got SIGTERM, the successor panicked.

Cause: the predecessor passes on a request whose client has just been probed with an interim response. The client's kernel replies with a reset before the predecessor looks at the socket again. net.FileConn cannot determine the peer of a reset socket, so RemoteAddr is nil, and Server.Import called String on it. The stack of the panic names this line.

Change: peerAddr returns "unknown" if a connection has no remote address. The close watch of the imported connection then reads the reset and cancels the request, like that of any client that has left. Related paths were looked at: a connection that is reset before it is accepted keeps its address, and worker connections take theirs from the endpoint table. Both have a test now, which passes with and without the change.

--- a/internal/daemon/hot_restart_test.go
+++ b/internal/daemon/hot_restart_test.go
@@ -132,6 +132,32 @@
 	third.stop(t)
 }
 
+// Clients that close their connections shortly before SIGTERM must not end the successor, nor cost other clients their
+// responses.
+func TestHotRestartSurvivesClientsThatLeave(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	config, url := newTestConfig(t, time.Second)
+	predecessor := startProcess(t, config)
+	staying, leaving := make([]*client, 4), make([]*client, 4)
+	for n := range staying {
+		staying[n], leaving[n] = dialClient(t, url), dialClient(t, url)
+		staying[n].send(fmt.Sprint("s", n))
+		leaving[n].send(fmt.Sprint("l", n))
+	}
+	predecessor.awaitResponse(t, "DUMP", "svc.outstanding=8\n")
+	successor := startProcess(t, config)
+	for _, c := range leaving {
+		c.Close()
+		time.Sleep(2 * time.Millisecond) // the predecessor finds out in up to closePollInterval
+	}
+	predecessor.stop(t)
+	for _, c := range staying {
+		c.assertResponse(t, 200, false, "its connection is open at the successor")
+	}
+	successor.awaitResponse(t, "DUMP", "svc.outstanding=0\n")
+	successor.stop(t)
+}
+
 // The predecessor must accept connections again if the successor exits first.
 func TestPredecessorResumesServingAfterSuccessorExits(t *testing.T) {
 	t.Setenv("TMPDIR", t.TempDir())
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -64,6 +64,19 @@
 	beforeLastByte func() // runs before SendOnReused checks the connection and sends the last byte of a message
 }
 
+// unknownAddr stands for the address of a peer that can't be determined.
+const unknownAddr = "unknown"
+
+// peerAddr returns the address of a connection's peer. A connection made from the socket of another process has no
+// remote address if its peer has reset it: the result is then unknownAddr.
+func peerAddr(nc net.Conn) string {
+	addr := nc.RemoteAddr()
+	if addr == nil {
+		return unknownAddr
+	}
+	return addr.String()
+}
+
 // newConn returns a connection that is owned by the caller. onClose may be nil.
 func newConn(nc net.Conn, role PeerRole, addr string, log zerolog.Logger, onClose func()) *Conn {
 	return &Conn{
--- a/internal/transport/migration.go
+++ b/internal/transport/migration.go
@@ -54,7 +54,7 @@
 // Import takes over a client connection from the predecessor and serves it in a new goroutine. finish returns the
 // response to the current request on the connection.
 func (s *Server) Import(client MigratedClient, finish func(context.Context) *protocol.Response) {
-	c := newConn(client.Conn, Client, client.Conn.RemoteAddr().String(), s.log, nil)
+	c := newConn(client.Conn, Client, peerAddr(client.Conn), s.log, nil)
 	c.stream.replay = client.Pipelined
 	c.acceptsInterim = client.AcceptsInterim
 	s.clients.acquire(c)
--- a/internal/transport/migration_test.go
+++ b/internal/transport/migration_test.go
@@ -78,6 +78,66 @@
 	assert.Eventually(t, func() bool { return server.OpenConnections() == 0 }, testTimeout, time.Millisecond)
 }
 
+// importedAfterReset returns a connection made from a socket after a reset from the peer was received on it. Such a
+// socket has no remote address any more.
+func importedAfterReset(t *testing.T) net.Conn {
+	t.Helper()
+	conn, peer, _ := connPair(t)
+	socket := conn.nc.(*net.TCPConn)
+	assert.NoError(t, peer.SetLinger(0))
+	assert.NoError(t, peer.Close())
+	isReset := func() bool {
+		state, _ := tcpState(socket)
+		return state == tcpClosed
+	}
+	assert.Eventually(t, isReset, testTimeout, time.Millisecond)
+	file, err := socket.File()
+	assert.NoError(t, err)
+	defer file.Close()
+	imported, err := net.FileConn(file)
+	assert.NoError(t, err)
+	return imported
+}
+
+// A client that resets its connection during a hot restart must not end the successor (panic on a nil remote address).
+func TestImportedClientThatHasResetItsConnectionIsReleased(t *testing.T) {
+	server, _, _ := startServer(t, 4)
+	canceled := make(chan error, 1)
+	server.Import(MigratedClient{Conn: importedAfterReset(t), AcceptsInterim: true},
+		func(ctx context.Context) *protocol.Response {
+			<-ctx.Done()
+			canceled <- context.Cause(ctx)
+			return nil
+		})
+	assert.ErrorIs(t, peertest.Receive(t, canceled), errClientClosed)
+	assert.Eventually(t, func() bool { return server.OpenConnections() == 0 }, testTimeout, time.Millisecond)
+}
+
+// A client that resets its connection while it waits in the listener's queue must not end the process either.
+func TestConnectionResetBeforeAcceptIsReleased(t *testing.T) {
+	server := newTestServer(listenLoopback(t), 4, newEchoHandler())
+	client, _ := connect(t, server)
+	assert.NoError(t, client.(*net.TCPConn).SetLinger(0))
+	assert.NoError(t, client.Close())
+	stop, ended := runServer(server)
+	next, reader := connect(t, server)
+	assert.Equal(t, 200, roundTrip(t, next, reader, echoRequest).status)
+	next.Close()
+	assert.Eventually(t, func() bool { return server.OpenConnections() == 0 }, testTimeout, time.Millisecond)
+	stop()
+	assert.NoError(t, peertest.Receive(t, ended))
+}
+
+// A worker that resets its connection during a hot restart must not end the successor.
+func TestImportedWorkerConnectionThatWasResetFails(t *testing.T) {
+	pool := NewPool(1, time.Minute, zerolog.Nop())
+	conn := pool.Import(importedAfterReset(t), "w", nil)
+	_, err := conn.ReadResponseHead()
+	assert.Error(t, err)
+	conn.CloseFor(CloseReasonOf(err), err)
+	assert.Equal(t, 0, pool.OpenConnections())
+}
+
 func TestImportedConnectionTakesASlotIfOneIsFree(t *testing.T) {
 	addr, _ := startWorker(t)
 	pool := NewPool(1, time.Minute, zerolog.Nop())
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -193,7 +193,7 @@
 
 // startConn serves a new connection in a new goroutine, which owns the connection. Run waits for this goroutine.
 func (s *Server) startConn(nc net.Conn) {
-	c := newConn(nc, Client, nc.RemoteAddr().String(), s.log, nil)
+	c := newConn(nc, Client, peerAddr(nc), s.log, nil)
 	admission := s.clients.acquire(c)
 	s.conns.Go(func() error {
 		s.serveRequests(c, admission)
