Reject a reloaded file that lacks a key of an operation or a tenant

What callers saw: a file that lacks dedupScope of one operation was applied at SIGHUP.

Cause: the check for missing keys compared objects by all their keys, and the entries of lists by a list of five keys of operations. dedupScope, dedupWindowS, tardyBilledValue and stream of an operation, and quotaPerS and share of a tenant, were not in it. An absent dedupScope has the default "all", the widest scope.

Change: keyTree holds the keys of a file at every depth. An entry must have the keys of the current entry of the same name, and a new entry those that all current entries have. The error names the place, such as settings.operations[2].dedupScope.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -42,8 +42,8 @@
 	Proxy             proxy.Config
 	Fleet             *fleet.Settings // nil if LB_FLEET is not set
 
-	settingsHash string          // identifies the settings under which the state on disk was learned
-	keys         map[string]bool // paths of the keys in the file, see configKeys
+	settingsHash string   // identifies the settings under which the state on disk was learned
+	keys         *keyTree // the keys in the file
 }
 
 // ReadConfig reads the configuration file that LB_CONFIG names. The other environment variables override the name and
--- a/internal/daemon/config_keys.go
+++ b/internal/daemon/config_keys.go
@@ -1,68 +1,115 @@
 package daemon
 
 import (
+	"fmt"
+	"maps"
 	"slices"
+	"strings"
 
 	"github.com/valyala/fastjson"
+
+	"canvasroute/internal/settings"
 )
 
-// optionalKeys are the keys that a reloaded file may omit even if the current configuration has them.
-var optionalKeys = map[string]bool{"known": true, "mgmt": true, "peers_all": true}
+// optionalKeys are the paths of the keys that a reloaded file may omit even if the current configuration has them. "[]"
+// stands for each element of a list.
+var optionalKeys = map[string]bool{
+	"known":                            true,
+	"mgmt":                             true,
+	"peers_all":                        true,
+	"settings.operations[].aimStretch": true,
+	"settings.prices.fleet":            true,
+}
 
-// operationKeys are the keys of an operation that configKeys includes.
-var operationKeys = []string{"name", "repeat", "latencyObjectiveS", "clientTimeoutS", "billedValue"}
+// elementNameKey is the key by which an element of a list, such as an operation, is recognized in another file.
+const elementNameKey = "name"
 
-// configKeys returns the paths of the keys in a file, except optional ones. Of the keys inside lists it includes only
-// the operationKeys that every operation has, as paths such as "settings.operations[].name".
-func configKeys(root *fastjson.Value) map[string]bool {
-	keys := map[string]bool{}
-	addKeys(keys, nil, root)
-	operations := root.GetArray("settings", "operations")
-	for _, key := range operationKeys {
-		inEach := len(operations) > 0
-		for _, operation := range operations {
-			inEach = inEach && operation.Exists(key)
-		}
-		if inEach {
-			keys["settings.operations[]."+key] = true
+// keyTree describes which keys a value in a configuration file has. A key whose value is null counts as missing.
+type keyTree struct {
+	fields   map[string]*keyTree // by key, without optionalKeys; empty unless the value is an object
+	elements []*keyTree          // empty unless the value is a list
+	name     string              // the string at elementNameKey, "" if there is none
+}
+
+// newKeyTree returns the keyTree of the value at a path, in which "[]" stands for the index of a list's element.
+func newKeyTree(path string, v *fastjson.Value) *keyTree {
+	tree := &keyTree{fields: map[string]*keyTree{}}
+	switch v.Type() {
+	case fastjson.TypeObject:
+		tree.name = string(v.GetStringBytes(elementNameKey))
+		v.GetObject().Visit(func(key []byte, field *fastjson.Value) {
+			fieldPath := joinPath(path, string(key))
+			if !optionalKeys[fieldPath] && field.Type() != fastjson.TypeNull {
+				tree.fields[string(key)] = newKeyTree(fieldPath, field)
+			}
+		})
+	case fastjson.TypeArray:
+		for _, element := range v.GetArray() {
+			tree.elements = append(tree.elements, newKeyTree(path+"[]", element))
 		}
 	}
-	return keys
+	return tree
 }
 
-// addKeys adds the paths of an object's keys and, recursively, of the keys of nested objects.
-func addKeys(keys map[string]bool, path keyPath, v *fastjson.Value) {
-	if v.Type() != fastjson.TypeObject {
-		return
+func joinPath(path, key string) string { return strings.TrimPrefix(path+"."+key, ".") }
+
+// checkComplete returns a *settings.KeyError if next, the value at a path of the next file, lacks a key that the
+// current value has. The check prevents an incomplete file from silently resetting keys to their defaults.
+//
+// Elements of lists may appear and vanish. An element must have the keys of the current element of the same name. If
+// there is none, it must have the keys that all current elements have.
+func (current *keyTree) checkComplete(path string, next *keyTree) error {
+	for _, key := range slices.Sorted(maps.Keys(current.fields)) {
+		fieldPath := joinPath(path, key)
+		field := next.fields[key]
+		if field == nil {
+			return &settings.KeyError{Key: fieldPath, Problem: "missing, but set in the current configuration"}
+		}
+		if err := current.fields[key].checkComplete(fieldPath, field); err != nil {
+			return err
+		}
 	}
-	v.GetObject().Visit(func(name []byte, field *fastjson.Value) {
-		fieldPath := slices.Concat(path, keyPath{string(name)})
-		key := fieldPath.String()
-		if optionalKeys[key] {
-			return
+	common := commonKeys(current.elements)
+	for n, element := range next.elements {
+		expected := current.elementNamed(element.name)
+		if expected == nil {
+			expected = common
 		}
-		keys[key] = true
-		addKeys(keys, fieldPath, field)
-	})
+		if err := expected.checkComplete(fmt.Sprintf("%s[%d]", path, n), element); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
-// firstMissingKey returns a key that the current configuration has and the next one lacks, or "" if there is none. If
-// several are missing, it returns the shortest, and among those of equal length the first in alphabetical order. The
-// check prevents a partially written file from silently resetting keys to their defaults.
-func firstMissingKey(current, next map[string]bool) string {
-	first := ""
-	for key := range current {
-		if !next[key] && (first == "" || sortsBefore(key, first)) {
-			first = key
-		}
+// elementNamed returns the element of a list with a name, or nil if there is none.
+func (current *keyTree) elementNamed(name string) *keyTree {
+	n := slices.IndexFunc(current.elements, func(element *keyTree) bool { return name != "" && element.name == name })
+	if n < 0 {
+		return nil
 	}
-	return first
+	return current.elements[n]
 }
 
-// sortsBefore reports whether a is shorter than b or, if their lengths are equal, precedes b in alphabetical order.
-func sortsBefore(a, b string) bool {
-	if len(a) != len(b) {
-		return len(a) < len(b)
+// commonKeys returns a keyTree with the keys that all of the trees have.
+func commonKeys(trees []*keyTree) *keyTree {
+	common := &keyTree{fields: map[string]*keyTree{}}
+	if len(trees) == 0 {
+		return common
+	}
+	for key := range trees[0].fields {
+		var values []*keyTree
+		for _, tree := range trees {
+			if field := tree.fields[key]; field != nil {
+				values = append(values, field)
+			}
+		}
+		if len(values) == len(trees) {
+			common.fields[key] = commonKeys(values)
+		}
+	}
+	for _, tree := range trees {
+		common.elements = append(common.elements, tree.elements...)
 	}
-	return a < b
+	return common
 }
--- a/internal/daemon/config_parse.go
+++ b/internal/daemon/config_parse.go
@@ -60,7 +60,7 @@
 	if r.err != nil {
 		return nil, r.err
 	}
-	c.keys = configKeys(root)
+	c.keys = newKeyTree("", root)
 	c.settingsHash = hashSettings(root.Get("settings"))
 	return c, nil
 }
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -45,8 +45,8 @@
 // checkReload returns a *settings.KeyError if a running process cannot apply the configuration: it identifies another
 // dispatcher, or lacks a key that the current one has.
 func (c *Config) checkReload(next *Config) error {
-	if key := firstMissingKey(c.keys, next.keys); key != "" {
-		return &settings.KeyError{Key: key, Problem: "missing, but set in the current configuration"}
+	if err := c.keys.checkComplete("", next.keys); err != nil {
+		return err
 	}
 	for _, identity := range []struct{ key, current, next string }{
 		{"name", c.Name, next.Name},
