Reject a reloaded file in which a value is null or of another type

A file with "dedupScope": null, or with any other value of the wrong type, was applied at SIGHUP. The value then counted as not set: the scope of a deduplicated operation became "all", mayCancel false, and so on.

Cause: the check for missing keys asked whether a key is there, not what it holds, and the parsers read a value of another type as not set.

Change: keyTree has the type of each value. null counts as missing, and a type other than in the current configuration is an error that names the place.

--- a/internal/daemon/config_keys.go
+++ b/internal/daemon/config_keys.go
@@ -24,18 +24,50 @@
 // elementNameKey is the key by which an element of a list, such as an operation, is recognized in another file.
 const elementNameKey = "name"
 
-// keyTree describes which keys a value in a configuration file has. A key whose value is null counts as missing.
+// jsonType is the type of a JSON value, as named in errors.
+type jsonType string
+
+// The values of jsonType.
+const (
+	anyType     jsonType = "" // the type is not known
+	objectType  jsonType = "an object"
+	listType    jsonType = "a list"
+	stringType  jsonType = "a string"
+	numberType  jsonType = "a number"
+	booleanType jsonType = "true or false"
+)
+
+// typeOf returns the type of a value other than null.
+func typeOf(v *fastjson.Value) jsonType {
+	switch v.Type() {
+	case fastjson.TypeObject:
+		return objectType
+	case fastjson.TypeArray:
+		return listType
+	case fastjson.TypeString:
+		return stringType
+	case fastjson.TypeNumber:
+		return numberType
+	case fastjson.TypeTrue, fastjson.TypeFalse:
+		return booleanType
+	}
+	return anyType
+}
+
+// keyTree describes the type of a value in a configuration file, and which keys it has. A key whose value is null
+// counts as missing.
 type keyTree struct {
-	fields   map[string]*keyTree // by key, without optionalKeys; empty unless the value is an object
-	elements []*keyTree          // empty unless the value is a list
-	name     string              // the string at elementNameKey, "" if there is none
+	valueType jsonType
+	fields    map[string]*keyTree // by key, without optionalKeys; empty unless the value is an object
+	elements  []*keyTree          // empty unless the value is a list
+	name      string              // the string at elementNameKey, "" if there is none
 }
 
 // newKeyTree returns the keyTree of the value at a path, in which "[]" stands for the index of a list's element.
 func newKeyTree(path string, v *fastjson.Value) *keyTree {
-	tree := &keyTree{fields: map[string]*keyTree{}}
-	switch v.Type() {
-	case fastjson.TypeObject:
+	tree := &keyTree{valueType: typeOf(v), fields: map[string]*keyTree{}}
+	switch tree.valueType {
+	case objectType:
 		tree.name = string(v.GetStringBytes(elementNameKey))
 		v.GetObject().Visit(func(key []byte, field *fastjson.Value) {
 			fieldPath := joinPath(path, string(key))
@@ -43,7 +75,7 @@
 				tree.fields[string(key)] = newKeyTree(fieldPath, field)
 			}
 		})
-	case fastjson.TypeArray:
+	case listType:
 		for _, element := range v.GetArray() {
 			tree.elements = append(tree.elements, newKeyTree(path+"[]", element))
 		}
@@ -53,12 +85,16 @@
 
 func joinPath(path, key string) string { return strings.TrimPrefix(path+"."+key, ".") }
 
-// checkComplete returns a *settings.KeyError if next, the value at a path of the next file, lacks a key that the
-// current value has. The check prevents an incomplete file from silently resetting keys to their defaults.
+// checkComplete returns a *settings.KeyError if next, the value at a path of the next file, is of another type than the
+// current value, or lacks a key that the current value has. The check prevents an incomplete or damaged file from
+// silently resetting keys to their defaults.
 //
 // Elements of lists may appear and vanish. An element must have the keys of the current element of the same name. If
 // there is none, it must have the keys that all current elements have.
 func (current *keyTree) checkComplete(path string, next *keyTree) error {
+	if current.valueType != anyType && next.valueType != current.valueType {
+		return &settings.KeyError{Key: path, Problem: fmt.Sprintf("must be %s, as in the current configuration", current.valueType)}
+	}
 	for _, key := range slices.Sorted(maps.Keys(current.fields)) {
 		fieldPath := joinPath(path, key)
 		field := next.fields[key]
@@ -91,12 +127,16 @@
 	return current.elements[n]
 }
 
-// commonKeys returns a keyTree with the keys that all of the trees have.
+// commonKeys returns a keyTree with the keys that all of the trees have, and with their type if it is the same.
 func commonKeys(trees []*keyTree) *keyTree {
 	common := &keyTree{fields: map[string]*keyTree{}}
 	if len(trees) == 0 {
 		return common
 	}
+	hasOtherType := func(tree *keyTree) bool { return tree.valueType != trees[0].valueType }
+	if !slices.ContainsFunc(trees, hasOtherType) {
+		common.valueType = trees[0].valueType
+	}
 	for key := range trees[0].fields {
 		var values []*keyTree
 		for _, tree := range trees {
--- a/internal/daemon/config_keys_test.go
+++ b/internal/daemon/config_keys_test.go
@@ -99,6 +99,23 @@
 	}
 }
 
+// A key with the value null, or a value of another type, must not be taken for its default either.
+func TestReloadRejectsAFileWithAnyOneValueOfAnotherType(t *testing.T) {
+	for n, p := range places("", decodeConfig(t)) {
+		if isOptionalPlace(p.path) {
+			continue
+		}
+		for _, other := range []any{nil, []any{[]any{}}, map[string]any{"other": 1}} {
+			t.Run(fmt.Sprintf("%s = %v", p.path, other), func(t *testing.T) {
+				file := decodeConfig(t)
+				same := places("", file)[n]
+				same.object[same.key] = other
+				assert.Error(t, reloadError(t, file))
+			})
+		}
+	}
+}
+
 func TestReloadNamesThePlaceOfAMissingKey(t *testing.T) {
 	file := decodeConfig(t)
 	operations := file["settings"].(map[string]any)["operations"].([]any)
@@ -130,4 +147,5 @@
 	for key := range newOperation("") {
 		assert.ErrorContains(t, setOperations(newOperation(key)), key)
 	}
+	assert.Error(t, setOperations("confirm"), "not an object")
 }
