Require the dedup scope of a deduplicated operation in any settings

A process that started with a deduplicated operation without dedupScope, or with a scope that is not a string, took it for "all". A request that may have run could then be sent to a worker that does not know its key.

Cause: an absent or unreadable scope had the default of the widest scope, also where the scope decides which workers may get a second attempt.

Change: parseDedupScope returns an error that names the place. Operations that are not deduplicated may omit the scope as before.

Tests: TestInvalidSettingsAreRejectedWithTheirKey has three new cases, which failed without the change. TestEnumValuesOfSettings parsed a deduplicated operation without a scope, which is the fault; it sets the scope now and checks the same values.

--- a/internal/settings/operations.go
+++ b/internal/settings/operations.go
@@ -16,7 +16,7 @@
 	wordNonIdempotent:   balancer.NonIdempotent,
 }
 
-// dedupScopes has the entry "" for operations that do not set the scope.
+// dedupScopes has the entry "" for operations that do not set the scope. See parseDedupScope.
 var dedupScopes = map[string]balancer.DedupScope{
 	"":            balancer.ScopeAll,
 	wordScopeAll:  balancer.ScopeAll,
@@ -48,7 +48,7 @@
 	if err != nil {
 		return balancer.OperationConfig{}, err
 	}
-	scope, err := parseEnum(n, fields, keyDedupScope, dedupScopes)
+	scope, err := parseDedupScope(n, fields, idempotency)
 	if err != nil {
 		return balancer.OperationConfig{}, err
 	}
@@ -74,9 +74,28 @@
 	return operation, nil
 }
 
+// parseDedupScope parses the scope of the n-th operation. An operation that is idempotent by key must set it: the widest
+// scope, the default of the others, would allow a second execution by a worker that does not know the key.
+func parseDedupScope(n int, fields *fastjson.Value, idempotency balancer.Idempotency) (balancer.DedupScope, error) {
+	scope, err := parseEnum(n, fields, keyDedupScope, dedupScopes)
+	if err != nil {
+		return scope, err
+	}
+	if idempotency == balancer.IdempotentByKey && len(fields.GetStringBytes(keyDedupScope)) == 0 {
+		return scope, newKeyError(operationPath(n, keyDedupScope), fmt.Sprintf(
+			"missing, must be set for a %s operation to one of %s", wordIdempotentByKey, listWords(dedupScopes)))
+	}
+	return scope, nil
+}
+
 // parseEnum parses a key of the n-th operation whose value must be one of several words. It returns a *KeyError that
 // lists the words if the value is invalid.
 func parseEnum[T any](n int, fields *fastjson.Value, key string, choices map[string]T) (T, error) {
+	field := fields.Get(key)
+	if field != nil && field.Type() != fastjson.TypeString {
+		var none T
+		return none, newKeyError(operationPath(n, key), fmt.Sprintf("%s, must be one of %s", field, listWords(choices)))
+	}
 	word := string(fields.GetStringBytes(key))
 	choice, known := choices[word]
 	if !known {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -136,7 +136,8 @@
 		want balancer.Idempotency
 	}{{"idempotent", 0}, {"deduplicated", 1}, {"at_most_once", 2}} {
 		t.Run("repeat "+tt.word, func(t *testing.T) {
-			got, err := Parse(fastjson.MustParse(fmt.Sprintf(`{"balancers":1,"operations":[{"repeat":%q}]}`, tt.word)))
+			got, err := Parse(fastjson.MustParse(
+				fmt.Sprintf(`{"balancers":1,"operations":[{"repeat":%q,"dedupScope":"zone"}]}`, tt.word)))
 			assert.NoError(t, err)
 			assert.Equal(t, tt.want, got.Operations[0].Idempotency)
 		})
@@ -193,6 +194,18 @@
 			"unknown dedupScope", `{"balancers":1,"operations":[{"repeat":"idempotent","dedupScope":"moon"}]}`,
 			"operations[0].dedupScope", `"moon", must be one of all, cell, zone`,
 		},
+		{
+			"dedupScope as a number", `{"balancers":1,"operations":[{"repeat":"idempotent","dedupScope":2}]}`,
+			"operations[0].dedupScope", "2, must be one of all, cell, zone",
+		},
+		{
+			"deduplicated without dedupScope", `{"balancers":1,"operations":[{"repeat":"deduplicated","dedupWindowS":9}]}`,
+			"operations[0].dedupScope", "missing, must be set for a deduplicated operation to one of all, cell, zone",
+		},
+		{
+			"deduplicated with an empty dedupScope", `{"balancers":1,"operations":[{"repeat":"deduplicated","dedupScope":""}]}`,
+			"operations[0].dedupScope", "missing, must be set for a deduplicated operation to one of all, cell, zone",
+		},
 		{
 			"negative client timeout", `{"balancers":1,"operations":[{"repeat":"idempotent","clientTimeoutS":-1}]}`,
 			"operations[0].clientTimeoutS", "-1, must not be negative",
