Test of idle eviction: wait until the server has marked the connection idle

What was seen: TestIdleConnectionIsEvicted failed in about 1 of 6 runs of all tests beside eight busy processes, with status 503 in place of 200.

Cause: Server.respond sends the response and then marks the connection idle. If the test connects its second client in between, the first connection is still being served and cannot be evicted, so the second one is over the limit. The 503 is the right response at that moment; the test assumed an order.

Trace, on a scratch copy with a delay of 20 ms between the two steps: the test failed with that status, and no other test of the package failed. With this change the whole package passes on that copy.

Change: the test waits for the state idle, and also checks the first response. Its other checks are as before. Alone beside eight busy loops neither version failed in 60 runs, so the failure was shown by the forced order only.

--- a/internal/transport/client_eviction_test.go
+++ b/internal/transport/client_eviction_test.go
@@ -35,7 +35,8 @@
 func TestIdleConnectionIsEvicted(t *testing.T) {
 	server, _, _ := startServer(t, 1)
 	idle, idleReader := connect(t, server)
-	roundTrip(t, idle, idleReader, echoRequest)
+	assert.Equal(t, 200, roundTrip(t, idle, idleReader, echoRequest).status)
+	waitForState(t, server, stateIdle) // the client may have its response before the server changes the state
 	client, reader := connect(t, server)
 	assert.Equal(t, 200, roundTrip(t, client, reader, echoRequest).status)
 	_, err := idleReader.ReadByte()
