Tests: reserve the address of a process instead of picking a port and freeing it

Cause, by reading: freeAddress listened on port 0, closed the listener and returned the address. Until the process under test listened, any socket of the machine could get the port: another listener on port 0, or an outgoing connection. The pattern was there three times, in daemon, testbed/command and fleet.

Change: peertest.ReserveAddress keeps a socket bound to the port, which does not listen, until the test ends. Sockets that ask for an address on their own are never given the port, and a process that names it can listen. UDP has no such sharing without options in the product, so UnusedPacketAddress uses a loopback host of its own, as testbed/command did.

--- a/internal/daemon/admin_handler_test.go
+++ b/internal/daemon/admin_handler_test.go
@@ -11,11 +11,12 @@
 	"github.com/stretchr/testify/assert"
 
 	"canvasroute/internal/lifecycle"
+	"canvasroute/internal/peertest"
 )
 
 // A drained dispatcher must complete the requests that it has admitted, admit no new ones, and keep no connection open.
 func TestLeaveDrainsAndJoinAcceptsNewClients(t *testing.T) {
-	admin := freeAddress(t)
+	admin := peertest.ReserveAddress(t)
 	workerDelay := 2 * lifecycle.DrainGrace
 	dispatcher := startDispatcher(t, workerDelay, nil, func(c *Config) {
 		c.AdminListen = admin
--- a/internal/daemon/compatibility_test.go
+++ b/internal/daemon/compatibility_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"canvasroute/internal/hotrestart"
+	"canvasroute/internal/peertest"
 	"canvasroute/internal/protocol"
 	"canvasroute/internal/proxy"
 )
@@ -134,7 +135,7 @@
 	write := func(listen string) string {
 		return writeFile(t, filepath.Join(t.TempDir(), "config.json"), standaloneConfiguration(listen))
 	}
-	free := freeAddress(t)
+	free := peertest.ReserveAddress(t)
 	for _, c := range []struct {
 		name, config string
 		want         int
--- a/internal/daemon/helpers_test.go
+++ b/internal/daemon/helpers_test.go
@@ -16,6 +16,8 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
+
+	"canvasroute/internal/peertest"
 )
 
 const testConfiguration = `{"name":"n3","listen":"127.0.0.1:8080","discovery":"127.0.0.1:8500",
@@ -78,15 +80,6 @@
 	return s.buffer.String()
 }
 
-// freeAddress returns an address that no socket uses.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NoError(t, err)
-	defer free.Close()
-	return free.Addr().String()
-}
-
 // acceptsConnections reports whether a process accepts connections on an address.
 func acceptsConnections(addr string) bool {
 	conn, err := net.Dial("tcp", addr)
@@ -123,7 +116,7 @@
 	go worker.Serve(listener)
 	t.Cleanup(func() { worker.Close() })
 	parsed, err := parseConfig([]byte(testConfiguration),
-		fakeEnv("LB_LISTEN", freeAddress(t), "LB_DISCOVERY", unusedAddress))
+		fakeEnv("LB_LISTEN", peertest.ReserveAddress(t), "LB_DISCOVERY", unusedAddress))
 	assert.NoError(t, err)
 	parsed.Balancer.Gossip.Enabled = false
 	parsed.Proxy.InitialEndpoints.Endpoints[0].Address = listener.Addr().String()
--- a/internal/daemon/hot_restart_test.go
+++ b/internal/daemon/hot_restart_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
+
+	"canvasroute/internal/peertest"
 )
 
 // testProcess is a dispatcher that runs alongside others in the test process, with signals of its own.
@@ -34,7 +36,7 @@
 	t.Helper()
 	d := &testProcess{
 		signals: newSignals(),
-		admin:   freeAddress(t),
+		admin:   peertest.ReserveAddress(t),
 		log:     &syncBuffer{},
 		ended:   make(chan error, 1),
 	}
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"canvasroute/internal/lifecycle"
+	"canvasroute/internal/peertest"
 )
 
 // reloadableProcess is a process with a configuration file that tests can replace.
@@ -135,7 +136,7 @@
 	listener, err := net.Listen("tcp", config.Listen)
 	assert.NoError(t, err)
 	defer listener.Close()
-	config.AdminListen = freeAddress(t)
+	config.AdminListen = peertest.ReserveAddress(t)
 	err = serve(&config, nil, newSignals(), zerolog.Nop())
 	assert.ErrorIs(t, err, syscall.EADDRINUSE)
 	assert.ErrorContains(t, err, config.Listen)
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"canvasroute/internal/peertest"
 )
 
 // reloadWithSighup replaces the configuration file and sends SIGHUP to the test process.
@@ -62,7 +64,7 @@
 
 // A file must be applied completely or not at all. An operation that was removed from the file is not served.
 func TestSighupAppliesNewSettingsCompletelyOrNotAtAll(t *testing.T) {
-	path, admin := filepath.Join(t.TempDir(), "config.json"), freeAddress(t)
+	path, admin := filepath.Join(t.TempDir(), "config.json"), peertest.ReserveAddress(t)
 	dispatcher := startDispatcher(t, 300*time.Millisecond, func() (*Config, error) {
 		return ReloadConfig(fakeEnv("LB_CONFIG", path, "LB_MGMT", admin))
 	}, func(c *Config) {
--- a/internal/daemon/signals_test.go
+++ b/internal/daemon/signals_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"canvasroute/internal/balancer"
+	"canvasroute/internal/peertest"
 )
 
 // Tests of signals that arrive at unusual times, see docs/crossings.md.
@@ -87,7 +88,7 @@
 	config, url := newTestConfig(t, time.Minute)
 	config.Balancer.Attempts.Cancellation = false
 	config.Balancer.Operations[0].Idempotency = balancer.NonIdempotent
-	config.AdminListen = freeAddress(t)
+	config.AdminListen = peertest.ReserveAddress(t)
 	received, start := prepareProcess(config, nil)
 	ended := start()
 	c := awaitListening(t, url)
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -15,6 +14,7 @@
 	"canvasroute/internal/balancer"
 	"canvasroute/internal/fleet/recovery"
 	"canvasroute/internal/fleet/store"
+	"canvasroute/internal/peertest"
 	"canvasroute/internal/proxy"
 )
 
@@ -35,21 +35,12 @@
 	return nil
 }
 
-// freeAddress returns an unused local UDP address.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	assert.NoError(t, err)
-	defer conn.Close()
-	return conn.LocalAddr().String()
-}
-
 // newSingleMemberSettings returns the settings of a fleet with the single dispatcher n0 and a temporary state folder.
 func newSingleMemberSettings(t *testing.T) *Settings {
 	t.Helper()
 	dir := t.TempDir()
 	path := filepath.Join(dir, "fleet.toml")
-	text := strings.NewReplacer("FOLDER", filepath.Join(dir, "state"), "ADDRESS", freeAddress(t)).Replace(`
+	text := strings.NewReplacer("FOLDER", filepath.Join(dir, "state"), "ADDRESS", peertest.UnusedPacketAddress(t)).Replace(`
 [state]
 folder = "FOLDER"
 every = "5ms"
--- a/internal/testbed/command/command_test.go
+++ b/internal/testbed/command/command_test.go
@@ -20,6 +20,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"canvasroute/internal/daemon"
+	"canvasroute/internal/peertest"
 	"canvasroute/internal/testbed/baseline"
 	"canvasroute/internal/testbed/experiment"
 	"canvasroute/internal/testbed/history"
@@ -326,7 +327,7 @@
 	const sockets = 512
 	dispatcher := newTestDispatcher(t, sockets)
 	start := func() (cmd *exec.Cmd, adminAddr string) {
-		adminAddr = freeAddress(t)
+		adminAddr = peertest.ReserveAddress(t)
 		dispatcher.start(t, sockets, "LB_MGMT="+adminAddr)
 		awaitHealth(t, adminAddr, "done")
 		return dispatcher.cmd, adminAddr
--- a/internal/testbed/command/dispatcher_process_test.go
+++ b/internal/testbed/command/dispatcher_process_test.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"canvasroute/internal/peertest"
 )
 
 // Helpers for tests of individual dispatcher processes.
@@ -33,20 +35,6 @@
 	cmd          *exec.Cmd
 }
 
-// addressesAssigned counts the assigned addresses. Each address has its own loopback host, so that no outgoing
-// connection can use its port.
-var addressesAssigned atomic.Int64
-
-// freeAddress returns an address on which no process listens.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	n := addressesAssigned.Add(1)
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 40+os.Getpid()%100, n/250, 1+n%250))
-	assert.NoError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 // endpointList returns the endpoint list, with the worker and otherWorkers, under a version.
 func (d *testDispatcher) endpointList(version int) string {
 	return fmt.Sprintf(`{"seq":%d,"whole":true,"hosts":[{"host":"w","dial":%q,"health":"Ready","born_ms":0}%s]}`,
@@ -68,8 +56,8 @@
 	ln := listen(t, "127.0.0.1:0")
 	serve(t, ln, answerDone)
 	d := &testDispatcher{
-		listen:     freeAddress(t),
-		discovery:  freeAddress(t),
+		listen:     peertest.ReserveAddress(t),
+		discovery:  peertest.ReserveAddress(t),
 		worker:     ln.Addr().String(),
 		configPath: filepath.Join(t.TempDir(), "c.json"),
 	}
