Close a reused worker connection after a response that has no request ID

Cause: a response with a status other than 200 has no request ID. On a reused connection the attempt took a late second response to an earlier request for its own, and returned the connection to the pool while its response was still to come. The next request on the connection got that one.

Change: such a response on a reused connection ends the connection, for every status and operation (close reason "unattributed"). On a new connection it can belong to one request only, and the connection stays.

--- a/internal/proxy/attempt_outcome.go
+++ b/internal/proxy/attempt_outcome.go
@@ -82,6 +82,8 @@
 		return transport.Malformed
 	case errors.Is(err, errCloseRequested):
 		return transport.CloseRequested
+	case errors.Is(err, errUnattributed):
+		return transport.Unattributed
 	case errors.Is(err, errTruncatedResponse):
 		return transport.PeerAborted
 	}
--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -143,6 +143,69 @@
 	assert.Equal(t, <-clients, <-clients)
 }
 
+// A response without a request ID on a reused connection may be a late second one to an earlier request. If the
+// connection were reused, a non-idempotent request could get the response to this request and be executed twice.
+func TestConnectionIsNotReusedAfterAnUnattributedResponse(t *testing.T) {
+	for name, test := range map[string]struct{ operation, text string }{
+		"declined":            {"idem", declinedText},
+		"500":                 {"idem", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"},
+		"503 without decline": {"idem", "HTTP/1.1 503 No\r\nContent-Length: 2\r\n\r\nno"},
+		"non-idempotent":      {"once", declinedText},
+		"keyed":               {"keyed", declinedText},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var requests atomic.Int32
+			p := newProxy(peertest.StartServer(t, func(conn net.Conn, _ *http.Request) {
+				if requests.Add(1) == 1 {
+					io.WriteString(conn, succeededText())
+					return
+				}
+				io.WriteString(conn, test.text)
+			}))
+			run := func(operation string) {
+				a := newTestAttempt(t, p, parseHead("Req-Id: a1\r\nIdempotency-Key: k\r\nReq-Kind: "+operation+"\r\n"))
+				a.reusePolicy = transport.AnyConnection
+				a.run(context.Background(), 0).finish()
+			}
+			run("idem")
+			assert.Equal(t, 1, p.pool.OpenConnections())
+			run(test.operation)
+			assert.Equal(t, 0, p.pool.OpenConnections())
+		})
+	}
+}
+
+// A probe that gets a late second response to an attempt must not return its connection either, as the load report is
+// still to come.
+func TestConnectionIsNotReusedAfterAProbeGetsAnotherResponse(t *testing.T) {
+	for name, text := range map[string]string{"done": succeededText(), "declined": declinedText} {
+		t.Run(name, func(t *testing.T) {
+			var requests atomic.Int32
+			respond := func(conn net.Conn, _ *http.Request) {
+				if requests.Add(1) == 1 {
+					io.WriteString(conn, succeededText())
+					return
+				}
+				io.WriteString(conn, text)
+			}
+			p := newProxyWith(peertest.StartServer(t, respond), func(_ *balancer.Config, config *Config) {
+				config.ReportFields = []string{"rif"}
+			})
+			newTestAttempt(t, p, requestHead("idem")).run(context.Background(), 0).finish()
+			assert.Equal(t, 1, p.pool.OpenConnections())
+			p.probe(context.Background(), 0)
+			assert.Equal(t, 0, p.pool.OpenConnections())
+		})
+	}
+}
+
+// The only request of a new connection is the one that a response without a request ID belongs to.
+func TestConnectionIsReusedAfterAFirstResponseWithoutRequestID(t *testing.T) {
+	p := newProxy(peertest.StartServer(t, peertest.RespondWith(declinedText)))
+	newTestAttempt(t, p, requestHead("idem")).run(context.Background(), 0).finish()
+	assert.Equal(t, 1, p.pool.OpenConnections())
+}
+
 // A worker must not be ejected for closing an idle connection.
 func TestClosedReusedConnectionIsNotWorkerFailure(t *testing.T) {
 	var attempts atomic.Int32
--- a/internal/proxy/worker_response.go
+++ b/internal/proxy/worker_response.go
@@ -16,6 +16,7 @@
 	errMalformedResponse = errors.New("malformed response")
 	errTruncatedResponse = errors.New("response ended without a final state")
 	errCloseRequested    = errors.New("worker requested to close the connection")
+	errUnattributed      = errors.New("response without a request ID on a reused connection")
 )
 
 // workerResponse is a worker's response, read up to the line that decides the outcome of the attempt.
@@ -43,20 +44,26 @@
 		return workerResponse{outcome: a.lostOutcome(ctx, err), body: body, err: err}
 	}
 	if head.Status != http.StatusOK {
-		return newUnsuccessfulResponse(&head, body)
+		return newUnsuccessfulResponse(&head, body, a.reused)
 	}
 	a.events.delivered()
 	return a.readLines(ctx, conn, &head, body)
 }
 
-// newUnsuccessfulResponse returns the workerResponse for a head with a status other than 200.
-func newUnsuccessfulResponse(head *protocol.Head, body protocol.Body) workerResponse {
+// newUnsuccessfulResponse returns the workerResponse for a head with a status other than 200. Such a response has no
+// request ID. On a reused connection it may therefore be a late second response to an earlier request, and the response
+// to this request may still follow. The connection is then closed: if it were reused, the next request would get the
+// response to this one.
+func newUnsuccessfulResponse(head *protocol.Head, body protocol.Body, reused bool) workerResponse {
 	response := workerResponse{outcome: balancer.WorkerError, body: body}
 	if protocol.IsDeclined(head) {
 		response.outcome = balancer.Overloaded
 	}
-	if head.CloseRequested() || body.EndsWithConnection() {
+	switch {
+	case head.CloseRequested() || body.EndsWithConnection():
 		response.err = errCloseRequested
+	case reused:
+		response.err = errUnattributed
 	}
 	return response
 }
--- a/internal/transport/close_reason.go
+++ b/internal/transport/close_reason.go
@@ -33,6 +33,7 @@
 	Evicted            CloseReason = "over_budget"   // it was evicted in favor of another connection
 	WatchTimeout       CloseReason = "silent"        // no line was received on an endpoint watch for too long
 	UnexpectedResponse CloseReason = "unwanted"      // the discovery service responded with an unexpected status
+	Unattributed       CloseReason = "unattributed"  // its last response may belong to an earlier request
 	Stopping           CloseReason = "ending"        // this process is stopping
 	Migrated           CloseReason = "handed_over"   // it was migrated to another process of this dispatcher
 )
