Fail a marked retry until the keys of the other process have been read

Cause: a successor serves before it has read the state folder, where the keys of its predecessor are. Until then a key without a record counted as never sent. The state machine counts only what disks and peers may have lost.

Change: Node.keysUnread says that another process of this name may have written keys that this one has not read: in a successor until it has read the folder, and, on the related path, in a predecessor from when it yields the folder. A marked retry without a record is an error meanwhile.

Measured: TestSuccessorSendsNoMarkedRetryBeforeItHasReadTheKeys failed without the change.

--- a/internal/fleet/incarnation.go
+++ b/internal/fleet/incarnation.go
@@ -60,6 +60,7 @@
 	defer n.mu.Unlock()
 	n.owned = owned
 	n.recovered = recovered
+	n.keysUnread = false
 	for _, err := range recovered.Errors {
 		n.log.Warn().Err(err).Msg("stored record ignored")
 		n.counters.factsDropped++
@@ -171,6 +172,7 @@
 	owned := n.owned
 	n.owned.store = nil
 	n.owned.folder = nil
+	n.keysUnread = true
 	n.mu.Unlock()
 	if owned.store != nil {
 		if err := owned.store.MarkCleanShutdown(); err != nil {
--- a/internal/fleet/keys.go
+++ b/internal/fleet/keys.go
@@ -24,14 +24,15 @@
 
 // PriorExecution returns the destination of an earlier request under the same key that may have run. Only requests sent
 // by a previous incarnation or a peer are considered. It returns nil if there is no record of one, and fails with
-// proxy.ErrOutcomeUnknown if Keys.Find fails.
+// proxy.ErrOutcomeUnknown if Keys.Find fails. In a hot restart the keys of the other process are in the state folder, so
+// a marked retry without a record fails until this process has read the folder.
 func (n *Node) PriorExecution(request proxy.KeyedRequest) (*proxy.PriorExecution, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	found, err := n.keys.Find(recovery.KeyLookup{
 		Sum:            keyChecksum(request.Operation, request.Key),
 		MarkedRetry:    request.MarkedRetry,
-		KeysIncomplete: n.machine.MayLackKeys(n.uptime()),
+		KeysIncomplete: n.keysUnread || n.machine.MayLackKeys(n.uptime()),
 		UnixMillis:     time.Now().UnixMilli(),
 		Uptime:         n.uptime(),
 	})
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -60,6 +60,7 @@
 	machine        *recovery.StateMachine
 	keys           *recovery.Keys
 	owned          ownedResources
+	keysUnread     bool                 // another process of this name may have written keys that this one has not read
 	recovered      store.Recovered      // data in the folder when this process acquired it
 	takingOver     bool                 // this process takes over from its predecessor, or from a successor that exited
 	replies        []recovery.PeerReply // not yet merged
@@ -106,6 +107,7 @@
 		machine:      newStateMachine(settings, &config),
 		keys:         recovery.NewKeys(config.DedupWindow),
 		takingOver:   config.IsSuccessor,
+		keysUnread:   config.IsSuccessor,
 	}
 	n.storedMaxObserved = sync.OnceValue(n.readStoredMaxObserved)
 	if n.takingOver {
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -142,3 +142,38 @@
 	assert.NoError(t, n.owned.socket.Close())
 	assert.NoError(t, n.owned.folder.Close())
 }
+
+// In a hot restart, a successor that has not read the predecessor's keys yet must not send a marked retry: it would go
+// to any dedup group, and run again.
+func TestSuccessorSendsNoMarkedRetryBeforeItHasReadTheKeys(t *testing.T) {
+	settings := newSingleMemberSettings(t)
+	now := time.Now().UnixMilli()
+	folder, err := store.OpenFolder(settings.State.Folder)
+	assert.NoError(t, err)
+	predecessor, recovered := store.Open(folder, "n0")
+	_, err = predecessor.Begin(store.BeginOptions{MinNumber: recovered.MinNextIncarnation(), At: now})
+	assert.NoError(t, err)
+	sent := store.Key{Sum: keyChecksum("o", "k"), Worker: "w", Zone: "a", SentAt: now, ExpiresAt: now + 60_000}
+	assert.NoError(t, predecessor.AppendKeys([]store.Key{sent}, now))
+
+	config := newSingleMemberConfig()
+	config.IsSuccessor = true
+	config.DedupWindow = time.Minute
+	successor, err := Open(context.Background(), settings, config)
+	assert.NoError(t, err)
+	acquired := make(chan bool, 1)
+	go func() { acquired <- successor.serveUntilAcquired(context.Background()) }()
+	assert.Eventually(t, func() bool { return successor.Ready() == nil }, 5*time.Second, time.Millisecond)
+	_, err = successor.PriorExecution(proxy.KeyedRequest{Operation: "o", Key: "k", MarkedRetry: true})
+	assert.ErrorIs(t, err, proxy.ErrOutcomeUnknown)
+	assert.NoError(t, folder.Close())
+	assert.True(t, <-acquired)
+	prior, err := successor.PriorExecution(proxy.KeyedRequest{Operation: "o", Key: "k", MarkedRetry: true})
+	assert.NoError(t, err)
+	assert.Equal(t, &proxy.PriorExecution{Worker: "w", Zone: "a", SentAtMillis: now}, prior)
+	prior, err = successor.PriorExecution(proxy.KeyedRequest{Operation: "o", Key: "other", MarkedRetry: true})
+	assert.NoError(t, err, "the records have been read")
+	assert.Nil(t, prior)
+	assert.NoError(t, successor.owned.socket.Close())
+	assert.NoError(t, successor.owned.folder.Close())
+}
