--- a/internal/fleet/simulate/node.go
+++ b/internal/fleet/simulate/node.go
@@ -259,7 +259,9 @@
 	}
 	// The keys are sorted so that the contents of each part of the reply, and thus of lost parts, depend only on the
 	// seed.
-	slices.SortFunc(local.Keys, func(a, b messaging.Key) int { return cmp.Compare(a.Sum, b.Sum) })
+	slices.SortFunc(local.Keys, func(a, b messaging.Key) int {
+		return cmp.Or(cmp.Compare(a.Sum, b.Sum), cmp.Compare(a.SentAt, b.SentAt), cmp.Compare(a.Worker, b.Worker))
+	})
 	if query.WantWorkers {
 		for worker := range n.world.plan.Workers {
 			id := string(rune('a'+worker%letterCount)) + "-worker"
