Give the drain one owner through a hot restart, and persist it before answering

By a test: a LEAVE at the successor was lost if that ended before its predecessor.

The successor is told a drain that changed while it started. A forwarded command is answered with its result (hotrestart.Link.RunCommand; new keys that earlier releases ignore).

Measured: TestLeaveWhileTheSuccessorStartsReachesIt, TestDrainOutlivesTheSuccessorThatRanLeave and TestForwardedDrainIsPersisted failed without the change.

--- a/internal/daemon/hot_restart.go
+++ b/internal/daemon/hot_restart.go
@@ -35,7 +35,7 @@
 //  3. Each process sends the other an update every siblingUpdateInterval: its attempts and requests in flight, its
 //     recent sends, and the number of connections that it needs. With the updates both processes together stay within
 //     the resource limits (hot_restart_limits.go), and each rejects a request whose ID is in flight at the other.
-//  4. The predecessor forwards LEAVE and JOIN to the successor.
+//  4. LEAVE and JOIN run in the successor, and the predecessor learns of them (drainControl).
 //  5. After SIGTERM the predecessor hands over each request in flight, with the connections of its client and its
 //     attempts (exportRequests). It tries immediately, and retries with each update for requests that could not be
 //     moved yet.
@@ -52,6 +52,7 @@
 	// Set by attach.
 	limits    resourceLimits
 	state     *lifecycle.State
+	drain     *drainControl
 	proxy     *proxy.Proxy
 	server    *transport.Server
 	pool      *transport.Pool
@@ -90,6 +91,7 @@
 func (h *hotRestart) attach(p *process) {
 	h.limits = p.limits
 	h.state = p.state
+	h.drain = p.drain
 	h.proxy = p.proxy
 	h.server = p.server
 	h.pool = p.pool
@@ -104,7 +106,7 @@
 	listener := hotrestart.Listener{
 		ControlSocket:   h.controlSocket,
 		Sockets:         h.sharedSockets,
-		Snapshot:        func() any { return h.proxy.Snapshot() },
+		Snapshot:        h.snapshot,
 		HandleSuccessor: h.handleSuccessor,
 		IsStopping:      h.isStopping,
 		Log:             h.log,
@@ -120,6 +122,13 @@
 	return g.Wait()
 }
 
+// snapshot returns the state of the process to send to a successor.
+func (h *hotRestart) snapshot() any {
+	snapshot := h.proxy.Snapshot()
+	h.drain.successorConnected(snapshot.Drained)
+	return snapshot
+}
+
 func (h *hotRestart) isStopping() bool { return h.state.PhaseAt(time.Now()).IsStopping() }
 
 // sharedSockets returns the sockets to send to a successor.
--- a/internal/daemon/hot_restart_predecessor.go
+++ b/internal/daemon/hot_restart_predecessor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"strconv"
 	"syscall"
 	"time"
@@ -38,22 +39,29 @@
 				h.proxy.ReceiveSiblingUpdate(balancer.Successor, update)
 			}
 		},
+		Command: func(command hotrestart.Command) { h.drain.applyFromSuccessor(command.Name) },
 	})
 	h.handleSuccessorExit()
 	h.log.Info().AnErr("cause", err).Stringer("phase", h.state.PhaseAt(time.Now())).Msg("successor ended")
 }
 
 // handOffToSuccessor stops accepting connections and yields the other shared resources after a successor has started to
-// serve.
+// serve. If an operator has changed the drain since the successor received the snapshot, the successor is notified.
 func (h *hotRestart) handOffToSuccessor(link *hotrestart.Link) {
-	if err := h.state.HandOff(time.Now()); err != nil {
+	command, err := h.drain.handOff()
+	if err != nil {
 		h.log.Warn().Err(err).Msg("successor serves, but this process cannot hand off")
 		return
 	}
-	h.yieldResources()
 	h.mu.Lock()
 	h.successor = link
 	h.mu.Unlock()
+	if command != "" {
+		if err := link.SendCommand(command); err != nil { // the link is broken, so this process resumes
+			h.log.Warn().Err(err).Str("call", command).Msg("successor not notified")
+		}
+	}
+	h.yieldResources()
 	h.log.Info().Msg("successor serves")
 }
 
@@ -66,7 +74,7 @@
 	h.mu.Lock()
 	h.successor = nil
 	h.mu.Unlock()
-	h.state.ResumeServing(time.Now())
+	h.drain.successorExited()
 	if h.isStopping() {
 		h.yieldResources()
 	} else {
@@ -120,12 +128,14 @@
 	return true
 }
 
-// forwardCommand sends an operator's command to the serving successor. If there is none, forwarded is false and this
-// process must run the command.
-func (h *hotRestart) forwardCommand(command string) (forwarded bool, err error) {
+// errSuccessorEnded is returned for a command that a successor should have run, if it has exited.
+var errSuccessorEnded = errors.New("the successor has ended")
+
+// callSuccessor runs an operator's command in the serving successor, and returns its error or that of the call.
+func (h *hotRestart) callSuccessor(command string) error {
 	link := h.servingSuccessor()
 	if link == nil {
-		return false, nil
+		return errSuccessorEnded
 	}
-	return true, link.SendCommand(command)
+	return link.RunCommand(command)
 }
--- a/internal/daemon/hot_restart_successor.go
+++ b/internal/daemon/hot_restart_successor.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"strconv"
-	"time"
 
 	"canvasroute/internal/balancer"
 	"canvasroute/internal/hotrestart"
@@ -44,21 +43,29 @@
 	}
 }
 
-// handlePredecessor notifies the predecessor that this process is serving, and handles its messages until it exits.
-// Afterwards this process may use all of the resource limits.
+// handlePredecessor notifies the predecessor that this process is serving, and handles its messages until it exits. Afterwards this process may use all of the resource limits.
 func (h *hotRestart) handlePredecessor(ctx context.Context) {
 	link := h.predecessor.Link
 	h.addSibling()
 	h.setConnectionLimits(h.fullConnectionShare().half()) // until the predecessor's first update
 	stop := h.sendUpdates(ctx, link, func() proxy.SiblingUpdate { return h.proxy.NextSiblingUpdate(balancer.Predecessor) })
 	defer stop()
+	commands := make(chan hotrestart.Command, maxPendingCommands)
+	defer close(commands)
+	go h.runForwardedCommands(link, commands)
 	if err := link.SendServing(); err != nil {
 		h.log.Warn().Err(err).Msg("predecessor not notified")
 	}
 	err := link.Receive(hotrestart.Handler{
 		SiblingUpdate: h.receivePredecessorUpdate,
 		Request:       h.importRequest,
-		Command:       h.runForwardedCommand,
+		Command: func(command hotrestart.Command) {
+			select {
+			case commands <- command:
+			default: // the predecessor reports to the operator that the command was not confirmed
+				h.log.Warn().Str("call", command.Name).Err(errTooManyCommands).Msg("forwarded operator command failed")
+			}
+		},
 	})
 	h.proxy.ForgetSibling(balancer.Predecessor)
 	h.removeSibling()
@@ -81,17 +88,36 @@
 	})
 }
 
-// runForwardedCommand runs LEAVE or JOIN, which the predecessor forwards because this process serves in its place.
-// Unlike adminHandler, it does not persist the drain or its end, even with LB_FLEET.
-func (h *hotRestart) runForwardedCommand(command string) {
-	h.log.Info().Str("call", command).Msg("operator command forwarded by predecessor")
-	now := time.Now()
-	if command == commandLeave {
-		h.state.Drain(now)
+// maxPendingCommands is how many forwarded commands may wait. The predecessor forwards one at a time.
+const maxPendingCommands = 8
+
+// errTooManyCommands is logged for a forwarded command that is dropped.
+var errTooManyCommands = errors.New("too many forwarded commands")
+
+// runForwardedCommands runs the LEAVE and JOIN commands that the predecessor forwards because this process serves in its
+// place, and reports their results. It has a goroutine of its own, because a command may wait for the disk, and the
+// requests that the predecessor hands over must not wait for it.
+func (h *hotRestart) runForwardedCommands(link *hotrestart.Link, commands <-chan hotrestart.Command) {
+	for command := range commands {
+		h.log.Info().Str("call", command.Name).Msg("operator command forwarded by predecessor")
+		err := h.drain.run(command.Name)
+		if err != nil {
+			h.log.Warn().Err(err).Msg("forwarded operator command failed")
+		}
+		if err := link.SendResult(command, err); err != nil {
+			h.log.Warn().Err(err).Msg("predecessor not notified")
+		}
+	}
+}
+
+// notifyPredecessor tells a predecessor that this process has run an operator's command. The predecessor resumes with
+// the same drain if this process exits first. An error means that the predecessor has exited.
+func (h *hotRestart) notifyPredecessor(command string) {
+	if h == nil || h.predecessor == nil {
 		return
 	}
-	if err := h.state.Rejoin(now); err != nil {
-		h.log.Warn().Err(err).Msg("forwarded operator command failed")
+	if err := h.predecessor.Link.SendCommand(command); err != nil {
+		h.log.Debug().Err(err).Msg("predecessor not notified")
 	}
 }
 
--- a/internal/daemon/hot_restart_test.go
+++ b/internal/daemon/hot_restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -14,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 
+	"canvasroute/internal/hotrestart"
 	"canvasroute/internal/peertest"
 )
 
@@ -196,6 +198,75 @@
 	successor.stop(t)
 }
 
+// connectAsSuccessor connects to a dispatcher as its successor does when it starts.
+func connectAsSuccessor(t *testing.T, config Config) *hotrestart.Handover {
+	t.Helper()
+	handover, err := hotrestart.Connect(
+		hotrestart.NewControlSocket(os.TempDir(), config.Name, config.Listen, config.PeerListen))
+	if !assert.NoError(t, err) || !assert.NotNil(t, handover) {
+		t.FailNow()
+	}
+	t.Cleanup(handover.Link.Close)
+	for _, socket := range handover.Sockets {
+		socket.Close()
+	}
+	return handover
+}
+
+// A LEAVE that is answered while a successor starts must reach the successor, whose snapshot is older.
+func TestLeaveWhileTheSuccessorStartsReachesIt(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	config, _ := newTestConfig(t, time.Millisecond)
+	predecessor := startProcess(t, config)
+	successor := connectAsSuccessor(t, config)
+	assert.Equal(t, "done\n", runAdminCommand(t, predecessor.admin, "LEAVE"))
+	commands := make(chan string, 1)
+	go func() {
+		_ = successor.Link.Receive(hotrestart.Handler{
+			Command: func(command hotrestart.Command) { commands <- command.Name },
+		})
+	}()
+	assert.NoError(t, successor.Link.SendServing())
+	assert.Equal(t, "LEAVE", peertest.Receive(t, commands))
+	predecessor.stop(t)
+}
+
+// A LEAVE that a successor has answered must hold if the successor exits before its predecessor.
+func TestDrainOutlivesTheSuccessorThatRanLeave(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	config, _ := newTestConfig(t, time.Millisecond)
+	predecessor := startProcess(t, config)
+	successor := startProcess(t, config)
+	predecessor.awaitResponse(t, "HEALTH", "error takes no clients: relieved\n")
+	assert.Equal(t, "done\n", runAdminCommand(t, successor.admin, "LEAVE"))
+	successor.stop(t)
+	resumed := func() bool { return strings.Contains(predecessor.log.String(), `"message":"successor ended"`) }
+	assert.Eventually(t, resumed, 5*time.Second, time.Millisecond)
+	assert.NotEqual(t, "done\n", runAdminCommand(t, predecessor.admin, "HEALTH"))
+	assert.Equal(t, "done\n", runAdminCommand(t, predecessor.admin, "JOIN"))
+	assert.Equal(t, "done\n", runAdminCommand(t, predecessor.admin, "HEALTH"))
+	predecessor.stop(t)
+}
+
+// A LEAVE that the predecessor forwards must be on disk when it is answered, and a JOIN must remove it.
+func TestForwardedDrainIsPersisted(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	config, _ := newTestConfig(t, time.Millisecond)
+	config.Fleet = readTestFleet(t, config)
+	predecessor := startProcess(t, config)
+	successor := startProcess(t, config)
+	predecessor.awaitResponse(t, "HEALTH", "error takes no clients: relieved\n")
+	for _, c := range []struct {
+		command string
+		drained bool
+	}{{"LEAVE", true}, {"JOIN", false}, {"LEAVE", true}} {
+		assert.Equal(t, "done\n", runAdminCommand(t, predecessor.admin, c.command))
+		assert.Equal(t, c.drained, readStoredDrain(t, config))
+	}
+	predecessor.stop(t)
+	successor.stop(t)
+}
+
 // On a platform without Unix sockets both processes listen, and the predecessor shuts down as if it had no successor.
 func TestBothProcessesListenWithoutControlSocket(t *testing.T) {
 	t.Setenv("TMPDIR", filepath.Join(t.TempDir(), "none"))
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -42,6 +42,7 @@
 	node         *fleet.Node               // set by step 4; nil if LB_FLEET is not set
 	datagrams    *transport.DatagramSocket // set by step 5; nil if gossip is disabled
 	state        *lifecycle.State          // set by step 6, like proxy
+	drain        *drainControl             // set by step 6, like proxy
 	proxy        *proxy.Proxy
 	listener     *net.TCPListener // set by step 7, like server
 	server       *transport.Server
@@ -144,6 +145,7 @@
 // buildProxy creates the proxy, and attaches the parts whose state the fleet node restores.
 func (p *process) buildProxy() {
 	p.state = &lifecycle.State{}
+	p.drain = &drainControl{state: p.state, restart: p.restart, node: p.node}
 	p.proxy = proxy.New(p.config.Proxy, p.shards, p.pool, p.datagrams, p.state, p.log)
 	if p.node != nil {
 		attachNode(p.node, p.proxy, p.shards, p.state)
@@ -168,7 +170,7 @@
 
 // openAdmin creates the handler of operators' commands, and opens the admin server if there is an admin address.
 func (p *process) openAdmin() error {
-	p.adminHandler = &adminHandler{proxy: p.proxy, state: p.state, restart: p.restart, node: p.node}
+	p.adminHandler = &adminHandler{proxy: p.proxy, drain: p.drain, node: p.node}
 	if p.config.AdminListen == "" {
 		return nil
 	}
--- a/internal/daemon/recovery_test.go
+++ b/internal/daemon/recovery_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net"
 	"os"
 	"path/filepath"
@@ -12,7 +13,9 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"canvasroute/internal/fleet"
 	"canvasroute/internal/fleet/store"
+	"canvasroute/internal/peertest"
 )
 
 // Without LB_FLEET no fleet node may be created, and therefore no file, listener or goroutine of one.
@@ -100,6 +103,39 @@
 	assert.ErrorContains(t, node.Ready(), "identity")
 }
 
+// readTestFleet returns the settings of a fleet with a single dispatcher, a temporary state folder and short timeouts.
+func readTestFleet(t *testing.T, config Config) *fleet.Settings {
+	t.Helper()
+	dir := t.TempDir()
+	address := peertest.UnusedPacketAddress(t)
+	text := fmt.Sprintf(`[state]
+folder = %q
+[link]
+listen = %q
+[recovery]
+list-within = "50ms"
+others-within = "50ms"
+trickle-within = "50ms"
+ask-every = "10ms"
+[[member]]
+name = %q
+address = %q
+`, filepath.Join(dir, "state"), address, config.Name, address)
+	settings, err := fleet.Read(writeFile(t, filepath.Join(dir, "fleet.toml"), text), config.Name, 0, 1)
+	assert.NoError(t, err)
+	return settings
+}
+
+// readStoredDrain reports whether the state folder of a dispatcher says that an operator has drained it.
+func readStoredDrain(t *testing.T, config Config) bool {
+	t.Helper()
+	var stdout, stderr bytes.Buffer
+	RunCommand([]string{"state", "show", config.Fleet.State.Folder, "--json"}, &stdout, &stderr)
+	var summary stateSummary
+	assert.NoError(t, json.Unmarshal(stdout.Bytes(), &summary), stderr.String())
+	return summary.Drained
+}
+
 func TestStateShowReportsContentAndTruncatedFile(t *testing.T) {
 	path := t.TempDir()
 	folder, err := store.OpenFolder(path)
--- a/internal/fleet/hot_restart.go
+++ b/internal/fleet/hot_restart.go
@@ -33,6 +33,7 @@
 		}
 		n.mu.Lock()
 		n.takingOver = true
+		n.folderState = folderPending
 		n.mu.Unlock()
 	}
 }
--- a/internal/fleet/incarnation.go
+++ b/internal/fleet/incarnation.go
@@ -100,6 +100,7 @@
 	} else {
 		n.machine.IdentityEstablished(n.uptime(), number, nonce, recovery.NewPreviousIncarnation(recovered))
 	}
+	n.folderState = folderInUse
 	n.mu.Unlock()
 	n.executeActions()
 }
@@ -173,6 +174,7 @@
 	n.owned.store = nil
 	n.owned.folder = nil
 	n.keysUnread = true
+	n.folderState = folderYielded
 	n.mu.Unlock()
 	if owned.store != nil {
 		if err := owned.store.MarkCleanShutdown(); err != nil {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -60,6 +60,7 @@
 	machine        *recovery.StateMachine
 	keys           *recovery.Keys
 	owned          ownedResources
+	folderState    folderState
 	keysUnread     bool                 // another process of this name may have written keys that this one has not read
 	recovered      store.Recovered      // data in the folder when this process acquired it
 	takingOver     bool                 // this process takes over from its predecessor, or from a successor that exited
@@ -70,6 +71,15 @@
 	counters       counters
 }
 
+// folderState is the progress of acquiring the state folder.
+type folderState uint8
+
+const (
+	folderPending folderState = iota // this process is about to begin an incarnation in the folder
+	folderInUse                      // the incarnation has begun; there may be no usable folder
+	folderYielded                    // another process of this name uses the folder
+)
+
 // ownedResources are the resources that only one process of a name may own. While another process owns them, folder and
 // store are nil, and socket is closed, or nil if this process has not owned them before.
 type ownedResources struct {
--- a/internal/hotrestart/link.go
+++ b/internal/hotrestart/link.go
@@ -26,10 +26,15 @@
 	reader *bufio.Reader // reads from conn through a descriptorReader
 	files  []*os.File    // received descriptors of messages not parsed yet; used by the receiving goroutine only
 	sendMu sync.Mutex    // held while a message is written
+
+	callMu     sync.Mutex              // guards lastCallID and calls
+	lastCallID uint64                  // number of the last call, from 1
+	calls      map[uint64]*pendingCall // by number
+	ended      chan struct{}           // closed when Receive returns
 }
 
 func newLink(conn *net.UnixConn) *Link {
-	l := &Link{conn: conn}
+	l := &Link{conn: conn, calls: map[uint64]*pendingCall{}, ended: make(chan struct{})}
 	l.reader = bufio.NewReader(descriptorReader{l})
 	return l
 }
@@ -175,9 +180,6 @@
 	return l.send(message{Update: text})
 }
 
-// SendCommand forwards an operator's command to the successor.
-func (l *Link) SendCommand(command string) error { return l.send(message{Command: command}) }
-
 // SendServing notifies the predecessor that this process has started to accept connections.
 func (l *Link) SendServing() error { return l.send(message{Serving: true}) }
 
@@ -194,7 +196,7 @@
 type Handler struct {
 	Serving       func()                // the successor has started to serve
 	SiblingUpdate func(json.RawMessage) // an update on the other process, such as its requests in flight
-	Command       func(string)          // an operator's command, forwarded by the predecessor
+	Command       func(Command)         // a command of an operator; its result is reported by Link.SendResult
 
 	// Request receives a request in flight that the predecessor hands over, and its sockets by name: ClientSocket for
 	// the client's connection, and the numbers of the attempts. It must close the files.
@@ -202,19 +204,23 @@
 }
 
 // Receive handles messages sequentially until the other process exits or the link is closed. It returns the error that
-// ended the loop.
+// ended the loop. It must be called once.
 func (l *Link) Receive(h Handler) error {
+	defer close(l.ended)
 	for {
 		m, err := l.receive()
 		if err != nil {
 			return err
 		}
-		h.handle(m)
+		l.handle(h, m)
 	}
 }
 
 // handle calls the functions for the fields that a message has set. It closes the files unless Request receives them.
-func (h Handler) handle(m receivedMessage) {
+func (l *Link) handle(h Handler, m receivedMessage) {
+	if m.Result != nil {
+		l.deliverResult(*m.Result)
+	}
 	if m.Serving && h.Serving != nil {
 		h.Serving()
 	}
@@ -222,7 +228,7 @@
 		h.SiblingUpdate(m.Update)
 	}
 	if m.Command != "" && h.Command != nil {
-		h.Command(m.Command)
+		h.Command(Command{Name: m.Command, callID: m.CallID})
 	}
 	if m.Request != nil && h.Request != nil {
 		h.Request(m.Request, m.files)
--- a/internal/hotrestart/message.go
+++ b/internal/hotrestart/message.go
@@ -8,8 +8,9 @@
 //  2. The predecessor (Listener) replies with its version, its snapshot and the sockets that both processes share.
 //  3. The successor reports that it is serving (Link.SendServing). If it exits earlier, the predecessor continues to
 //     serve.
-//  4. Both send updates at intervals (Link.SendSiblingUpdate). The predecessor may forward commands (Link.SendCommand)
-//     and hand over requests in flight (Link.SendRequest), until one of the two exits.
+//  4. Both send updates at intervals (Link.SendSiblingUpdate). Each may send commands of an operator to the other
+//     (Link.RunCommand, Link.SendCommand), and the predecessor may hand over requests in flight (Link.SendRequest), until one
+//     of the two exits.
 //
 // This package transfers messages and file descriptors. Its callers interpret the snapshot and decide which process
 // serves.
@@ -49,7 +50,11 @@
 	Serving  bool            `json:"serving,omitempty"` // the successor has started to accept connections
 	Update   json.RawMessage `json:"twin,omitempty"`    // an update on the sender, such as its requests in flight
 	Request  json.RawMessage `json:"open,omitempty"`    // a request in flight, to be continued by the successor
-	Command  string          `json:"call,omitempty"`    // an operator's command, forwarded to the successor
+	Command  string          `json:"call,omitempty"`    // an operator's command
+
+	// Calls. Processes of earlier releases ignore them, except for commands, and return no results.
+	CallID uint64      `json:"call_id,omitempty"` // the number of the call, 0 if no result is expected
+	Result *callResult `json:"result,omitempty"`  // the result of a call
 }
 
 // Errors that prevent a hot restart with another process.
--- a/internal/lifecycle/phase.go
+++ b/internal/lifecycle/phase.go
@@ -2,8 +2,8 @@
 
 // Phase determines which connections and requests a process accepts. The methods of State change it:
 //
-//   - Drain (LEAVE): from Serving to Draining. The phase becomes Drained after DrainGrace.
-//   - Rejoin (JOIN): from Draining or Drained to Serving.
+//   - Drain (LEAVE): from Serving or HandedOff to Draining. The phase becomes Drained after DrainGrace.
+//   - Rejoin (JOIN): from Draining or Drained to Serving, or to HandedOff if a successor is serving.
 //   - HandOff: from Serving to HandedOff, from Stopping to StoppingHandedOff.
 //   - ResumeServing: from HandedOff to Serving.
 //   - Stop (SIGTERM, SIGINT): from Serving or Draining to Stopping, from Drained to Closing, from HandedOff to
--- a/internal/lifecycle/state.go
+++ b/internal/lifecycle/state.go
@@ -22,6 +22,8 @@
 	mu         sync.Mutex
 	phase      Phase         // the phase set last; never Drained, which phaseAt derives from Draining and the time
 	phaseSetAt time.Time     // time at which phase was set; zero for the initial Serving
+	drained    bool          // an operator has drained the dispatcher
+	successor  bool          // a successor is serving
 	changed    chan struct{} // closed at the next change; nil if no caller waits for it
 }
 
@@ -40,12 +42,16 @@
 	return s.phase
 }
 
-// Drain starts draining the process at an operator's request. A second call does not extend DrainGrace. Drain has no
-// effect if a successor is serving or the process is stopping.
+// Drain starts draining the process at an operator's request, also if a successor is serving: the drain applies to the
+// connections of both. A second call does not extend DrainGrace. Drain has no effect if the process is stopping.
 func (s *State) Drain(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.phase == Serving {
+	if s.phase.IsStopping() {
+		return
+	}
+	s.drained = true
+	if s.phase == Serving || s.phase == HandedOff {
 		s.setPhase(Draining, now)
 	}
 }
@@ -57,20 +63,34 @@
 	if s.phase.IsStopping() {
 		return ErrStopping
 	}
-	if s.phase == Draining {
+	s.drained = false
+	switch {
+	case s.phase == Draining && s.successor:
+		s.setPhase(HandedOff, now)
+	case s.phase == Draining:
 		s.setPhase(Serving, now)
 	}
 	return nil
 }
 
+// IsDrained reports whether an operator has drained the dispatcher. A drain lasts until Rejoin, also if the process
+// stops.
+func (s *State) IsDrained() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drained
+}
+
 // HandOff stops accepting connections, because a successor accepts them. A draining process continues to drain, because
 // it should not get clients anyway. HandOff returns ErrStopping in Closing, which is the final phase.
 func (s *State) HandOff(now time.Time) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch s.phase {
-	case Closing:
+	if s.phase == Closing {
 		return ErrStopping
+	}
+	s.successor = true
+	switch s.phase {
 	case Stopping, StoppingHandedOff:
 		s.setPhase(StoppingHandedOff, now)
 	case Serving:
@@ -79,10 +99,12 @@
 	return nil
 }
 
-// ResumeServing reverts HandOff after the successor has exited. A process that is stopping continues to stop.
+// ResumeServing reverts HandOff after the successor has exited. A draining process continues to drain, and a process
+// that is stopping continues to stop.
 func (s *State) ResumeServing(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.successor = false
 	if s.phase == HandedOff {
 		s.setPhase(Serving, now)
 	}
--- a/internal/lifecycle/state_test.go
+++ b/internal/lifecycle/state_test.go
@@ -84,3 +84,28 @@
 	assert.ErrorIs(t, s.HandOff(startTime), ErrStopping)
 	assert.Equal(t, Closing, s.PhaseAt(startTime))
 }
+
+// A drain applies to the open connections of a process with a successor too, and outlives the successor.
+func TestDrainAppliesToAProcessWithASuccessor(t *testing.T) {
+	var s State
+	assert.NoError(t, s.HandOff(startTime))
+	s.Drain(startTime)
+	assert.True(t, s.IsDrained())
+	assert.Equal(t, Draining, s.PhaseAt(startTime))
+	assert.Equal(t, Drained, s.PhaseAt(after(DrainGrace)))
+	assert.NoError(t, s.Rejoin(after(DrainGrace)))
+	assert.Equal(t, HandedOff, s.PhaseAt(after(DrainGrace)), "the successor still serves")
+	s.Drain(after(DrainGrace))
+	s.ResumeServing(after(DrainGrace))
+	assert.Equal(t, Draining, s.PhaseAt(after(DrainGrace)))
+	assert.NoError(t, s.Rejoin(after(2*DrainGrace)))
+	assert.Equal(t, Serving, s.PhaseAt(after(2*DrainGrace)))
+}
+
+func TestDrainLastsWhenTheProcessStops(t *testing.T) {
+	var s State
+	s.Drain(startTime)
+	s.Stop(startTime)
+	assert.True(t, s.IsDrained())
+	assert.Equal(t, Stopping, s.PhaseAt(startTime))
+}
--- a/internal/proxy/snapshot.go
+++ b/internal/proxy/snapshot.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"canvasroute/internal/balancer"
-	"canvasroute/internal/lifecycle"
 	"canvasroute/internal/protocol"
 )
 
@@ -40,8 +39,7 @@
 	s.Version = contents.Version
 	s.Endpoints = contents.Endpoints
 	s.Zones = contents.Zones
-	phase := p.lifecycle.PhaseAt(time.Now())
-	s.Drained = phase == lifecycle.Draining || phase == lifecycle.Drained
+	s.Drained = p.lifecycle.IsDrained()
 	return s
 }
 
