Claim each request ID from the successor before the predecessor serves it

Cause: the processes told each other their IDs every 50 ms, and the successor accepted connections before the first of these messages.

Change: the successor asks for the open IDs before it accepts connections, and from then on the predecessor claims each ID from it (calls of hotrestart.Link; earlier releases ignore them, and are served as before). If the successor does not answer within 250 ms, the request is answered 503, as it has not been sent. If the successor has ended, the predecessor decides alone again.

--- a/internal/daemon/hot_restart.go
+++ b/internal/daemon/hot_restart.go
@@ -29,7 +29,9 @@
 //  1. On startup the successor connects to the predecessor. It receives the client listener, the gossip socket, and a
 //     snapshot of the state that the proxy has learned. From then on both processes can accept from the same queue of
 //     connections; the predecessor continues to serve.
-//  2. When its parts are running, the successor notifies the predecessor that it is serving. The predecessor then stops
+//  2. When its parts are running, the successor asks for the IDs of the open requests. The predecessor sends them, and
+//     from then on claims the ID of each request from the successor before it serves the request. Then the successor
+//     accepts connections, and notifies the predecessor that it is serving. The predecessor then stops
 //     accepting connections, stops gossip, and releases the state folder and the address of the fleet node
 //     (handOffToSuccessor). Open connections stay with the predecessor.
 //  3. Each process sends the other an update every siblingUpdateInterval: its attempts and requests in flight, its
@@ -47,6 +49,7 @@
 type hotRestart struct {
 	controlSocket hotrestart.ControlSocket
 	predecessor   *hotrestart.Handover // nil if there is none
+	mayAccept     chan struct{}        // closed when a process with a predecessor may accept connections
 	log           zerolog.Logger
 
 	// Set by attach.
@@ -74,7 +77,11 @@
 	if c.AdminListen == "" {
 		return nil
 	}
-	h := &hotRestart{controlSocket: hotrestart.NewControlSocket(os.TempDir(), c.Name, c.Listen, c.PeerListen), log: log}
+	h := &hotRestart{
+		controlSocket: hotrestart.NewControlSocket(os.TempDir(), c.Name, c.Listen, c.PeerListen),
+		mayAccept:     make(chan struct{}),
+		log:           log,
+	}
 	predecessor, err := hotrestart.Connect(h.controlSocket)
 	if err != nil {
 		log.Warn().Err(err).Msg("predecessor unreachable, starting without its state")
--- a/internal/daemon/hot_restart_predecessor.go
+++ b/internal/daemon/hot_restart_predecessor.go
@@ -40,11 +40,24 @@
 			}
 		},
 		Command: func(command hotrestart.Command) { h.drain.applyFromSuccessor(command.Name) },
+		SyncIDs: func() []string { return h.proxy.StartClaimingIDs(claimFrom(link)) },
 	})
 	h.handleSuccessorExit()
 	h.log.Info().AnErr("cause", err).Stringer("phase", h.state.PhaseAt(time.Now())).Msg("successor ended")
 }
 
+// claimFrom returns a function that claims request IDs from the successor. If the successor has exited, this process
+// decides alone again.
+func claimFrom(link *hotrestart.Link) proxy.ClaimID {
+	return func(id string) (granted bool, err error) {
+		granted, err = link.ClaimRequestID(id)
+		if errors.Is(err, hotrestart.ErrLinkEnded) {
+			return true, nil
+		}
+		return granted, err
+	}
+}
+
 // handOffToSuccessor stops accepting connections and yields the other shared resources after a successor has started to
 // serve. If an operator has changed the drain since the successor received the snapshot, the successor is notified.
 func (h *hotRestart) handOffToSuccessor(link *hotrestart.Link) {
--- a/internal/daemon/hot_restart_successor.go
+++ b/internal/daemon/hot_restart_successor.go
@@ -43,7 +43,8 @@
 	}
 }
 
-// handlePredecessor notifies the predecessor that this process is serving, and handles its messages until it exits. Afterwards this process may use all of the resource limits.
+// handlePredecessor synchronizes the request IDs with the predecessor, notifies it that this process is serving, and
+// handles its messages until it exits. Afterwards this process may use all of the resource limits.
 func (h *hotRestart) handlePredecessor(ctx context.Context) {
 	link := h.predecessor.Link
 	h.addSibling()
@@ -53,12 +54,11 @@
 	commands := make(chan hotrestart.Command, maxPendingCommands)
 	defer close(commands)
 	go h.runForwardedCommands(link, commands)
-	if err := link.SendServing(); err != nil {
-		h.log.Warn().Err(err).Msg("predecessor not notified")
-	}
+	go h.startServing(link)
 	err := link.Receive(hotrestart.Handler{
 		SiblingUpdate: h.receivePredecessorUpdate,
 		Request:       h.importRequest,
+		Claim:         h.proxy.GrantID,
 		Command: func(command hotrestart.Command) {
 			select {
 			case commands <- command:
@@ -73,6 +73,30 @@
 	h.log.Info().AnErr("cause", err).Msg("predecessor ended")
 }
 
+// startServing lets this process accept connections, as soon as the IDs of the predecessor's requests are known, and
+// notifies the predecessor. If the predecessor does not send the IDs, because it has exited or is an earlier release,
+// this process serves without them.
+func (h *hotRestart) startServing(link *hotrestart.Link) {
+	if err := link.SyncRequestIDs(h.proxy.AddSiblingIDs); err != nil {
+		h.log.Warn().Err(err).Msg("request IDs of the predecessor not known")
+	}
+	close(h.mayAccept)
+	if err := link.SendServing(); err != nil {
+		h.log.Warn().Err(err).Msg("predecessor not notified")
+	}
+}
+
+// awaitMayAccept waits until this process may accept connections, or ctx ends.
+func (h *hotRestart) awaitMayAccept(ctx context.Context) {
+	if h == nil || h.predecessor == nil {
+		return
+	}
+	select {
+	case <-h.mayAccept:
+	case <-ctx.Done():
+	}
+}
+
 // receivePredecessorUpdate applies an update from the predecessor, and sets this process's connection limits to the
 // connections that the predecessor does not need.
 func (h *hotRestart) receivePredecessorUpdate(text json.RawMessage) {
--- a/internal/daemon/hot_restart_test.go
+++ b/internal/daemon/hot_restart_test.go
@@ -267,6 +267,26 @@
 	successor.stop(t)
 }
 
+// If a client sends the ID of a request that the predecessor serves to the successor at the same moment, only one of the
+// two requests may be served.
+func TestSameIDAtBothProcessesIsServedOnce(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	config, url := newTestConfig(t, 100*time.Millisecond)
+	predecessor := startProcess(t, config)
+	atPredecessor := dialClient(t, url)
+	atPredecessor.send("warm-up")
+	atPredecessor.assertResponse(t, 200, false)
+	successor := startProcess(t, config)
+	predecessor.awaitResponse(t, "HEALTH", "error takes no clients: relieved\n")
+	atSuccessor := dialClient(t, url)
+	atPredecessor.send("same")
+	atSuccessor.send("same")
+	statuses := []int{atPredecessor.receive(t).status, atSuccessor.receive(t).status}
+	assert.ElementsMatch(t, []int{200, 409}, statuses)
+	predecessor.stop(t)
+	successor.stop(t)
+}
+
 // On a platform without Unix sockets both processes listen, and the predecessor shuts down as if it had no successor.
 func TestBothProcessesListenWithoutControlSocket(t *testing.T) {
 	t.Setenv("TMPDIR", filepath.Join(t.TempDir(), "none"))
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -192,6 +192,7 @@
 	g, failureContext := errgroup.WithContext(context.Background())
 	g.Go(func() error {
 		defer stopWorking()
+		p.restart.awaitMayAccept(acceptContext)
 		return p.server.Run(acceptContext)
 	})
 	g.Go(func() error { return p.proxy.Run(partsContext) })
--- a/internal/hotrestart/call.go
+++ b/internal/hotrestart/call.go
@@ -5,9 +5,11 @@
 	"time"
 )
 
-// commandTimeout limits the time until the other process returns the result of a command. It may have to write to a slow
-// disk.
-const commandTimeout = 3 * time.Second
+// Limits on the time until the other process returns the result of a call.
+const (
+	commandTimeout = 3 * time.Second        // it may have to write to a slow disk
+	idTimeout      = 250 * time.Millisecond // it only looks up request IDs
+)
 
 // Errors of calls.
 var (
@@ -20,8 +22,10 @@
 
 // callResult is the result of a call.
 type callResult struct {
-	CallID uint64 `json:"call_id"`
-	Error  string `json:"error,omitempty"` // of a command; empty if it succeeded
+	CallID  uint64   `json:"call_id"`
+	Error   string   `json:"error,omitempty"`   // of a command; empty if it succeeded
+	Refused bool     `json:"refused,omitempty"` // of a claim: the ID is in use
+	IDs     []string `json:"ids,omitempty"`     // of SyncRequestIDs
 }
 
 // pendingCall is a call whose result has not arrived.
@@ -110,3 +114,18 @@
 	}
 	return l.send(message{Result: result})
 }
+
+// SyncRequestIDs passes the IDs of the requests that are open in the predecessor to apply. From then on the predecessor
+// claims each ID before it serves a request (ClaimRequestID). apply is called by the goroutine that receives, before
+// claims and updates that follow. The error is that of the call.
+func (l *Link) SyncRequestIDs(apply func(ids []string)) error {
+	_, err := l.call(message{SyncIDs: true}, idTimeout, func(result callResult) { apply(result.IDs) })
+	return err
+}
+
+// ClaimRequestID reports whether no request with an ID is open in the other process, which records that the ID is in use
+// here. The error is that of the call.
+func (l *Link) ClaimRequestID(id string) (granted bool, err error) {
+	result, err := l.call(message{Claim: id}, idTimeout, nil)
+	return err == nil && !result.Refused, err
+}
--- a/internal/hotrestart/call_test.go
+++ b/internal/hotrestart/call_test.go
@@ -43,6 +43,15 @@
 	assert.Empty(t, caller.calls)
 }
 
+// A process of an earlier release runs commands, but knows no other calls and returns no results.
+func TestCallWithoutResultTimesOut(t *testing.T) {
+	caller := newCaller(t, func(*Link, Command) {})
+	assert.ErrorIs(t, caller.SyncRequestIDs(func([]string) { t.Error("no IDs were sent") }), ErrNoResult)
+	granted, err := caller.ClaimRequestID("a1")
+	assert.ErrorIs(t, err, ErrNoResult)
+	assert.False(t, granted)
+}
+
 func TestCallEndsWithTheLink(t *testing.T) {
 	caller := newCaller(t, func(runner *Link, _ Command) { runner.Close() })
 	assert.ErrorIs(t, caller.RunCommand("LEAVE"), ErrLinkEnded)
--- a/internal/hotrestart/format_test.go
+++ b/internal/hotrestart/format_test.go
@@ -60,6 +60,10 @@
 	}{
 		{"command with a result", message{Command: "LEAVE", CallID: 1}},
 		{"result of a command", message{Result: &callResult{CallID: 1, Error: "disk full"}}},
+		{"request for IDs", message{CallID: 2, SyncIDs: true}},
+		{"IDs", message{Result: &callResult{CallID: 2, IDs: []string{"a1"}}}},
+		{"claim of an ID", message{CallID: 3, Claim: "a2"}},
+		{"refused claim", message{Result: &callResult{CallID: 3, Refused: true}}},
 	} {
 		cases = append(cases, messageCase{c.name, c.message, func(l *Link) error { return l.send(c.message) }})
 	}
--- a/internal/hotrestart/link.go
+++ b/internal/hotrestart/link.go
@@ -198,6 +198,11 @@
 	SiblingUpdate func(json.RawMessage) // an update on the other process, such as its requests in flight
 	Command       func(Command)         // a command of an operator; its result is reported by Link.SendResult
 
+	// SyncIDs returns the IDs of the requests that are open in the predecessor, which claims those of later requests.
+	SyncIDs func() []string
+	// Claim records that the predecessor serves a request, unless a request with the ID is open in the successor.
+	Claim func(id string) (granted bool)
+
 	// Request receives a request in flight that the predecessor hands over, and its sockets by name: ClientSocket for
 	// the client's connection, and the numbers of the attempts. It must close the files.
 	Request func(json.RawMessage, map[string]*os.File)
@@ -212,12 +217,15 @@
 		if err != nil {
 			return err
 		}
-		l.handle(h, m)
+		if err := l.handle(h, m); err != nil {
+			return err
+		}
 	}
 }
 
-// handle calls the functions for the fields that a message has set. It closes the files unless Request receives them.
-func (l *Link) handle(h Handler, m receivedMessage) {
+// handle calls the functions for the fields that a message has set, and returns the results of calls. It closes the
+// files unless Request receives them. The error is that of the connection.
+func (l *Link) handle(h Handler, m receivedMessage) error {
 	if m.Result != nil {
 		l.deliverResult(*m.Result)
 	}
@@ -232,7 +240,19 @@
 	}
 	if m.Request != nil && h.Request != nil {
 		h.Request(m.Request, m.files)
-		return
+		return nil
 	}
 	closeFiles(m.files)
+	return l.handleIDs(h, m)
+}
+
+// handleIDs returns the results of calls about request IDs.
+func (l *Link) handleIDs(h Handler, m receivedMessage) error {
+	switch {
+	case m.SyncIDs && h.SyncIDs != nil:
+		return l.send(message{Result: &callResult{CallID: m.CallID, IDs: h.SyncIDs()}})
+	case m.Claim != "" && h.Claim != nil:
+		return l.send(message{Result: &callResult{CallID: m.CallID, Refused: !h.Claim(m.Claim)}})
+	}
+	return nil
 }
--- a/internal/hotrestart/message.go
+++ b/internal/hotrestart/message.go
@@ -53,8 +53,10 @@
 	Command  string          `json:"call,omitempty"`    // an operator's command
 
 	// Calls. Processes of earlier releases ignore them, except for commands, and return no results.
-	CallID uint64      `json:"call_id,omitempty"` // the number of the call, 0 if no result is expected
-	Result *callResult `json:"result,omitempty"`  // the result of a call
+	CallID  uint64      `json:"call_id,omitempty"`  // the number of the call, 0 if no result is expected
+	SyncIDs bool        `json:"sync_ids,omitempty"` // the successor asks for the IDs of open requests
+	Claim   string      `json:"claim,omitempty"`    // the ID of a request that the predecessor is about to serve
+	Result  *callResult `json:"result,omitempty"`   // the result of a call
 }
 
 // Errors that prevent a hot restart with another process.
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -26,7 +26,11 @@
 	if err != nil {
 		return p.RejectMalformed(err)
 	}
-	if !p.requestIDs.open(request.ID) {
+	switch free, err := p.requestIDs.open(request.ID); {
+	case err != nil: // the request has not been sent to a worker, so the client may retry it
+		p.log.Warn().Err(err).Str("id", request.ID).Msg("request ID not claimed")
+		return p.respondUnavailable(0)
+	case !free:
 		return p.respondDuplicateID()
 	}
 	defer p.requestIDs.close(request.ID)
--- a/internal/proxy/request_ids.go
+++ b/internal/proxy/request_ids.go
@@ -4,24 +4,53 @@
 
 // requestIDs is the set of IDs of the requests that are open in this process and, during a hot restart, in its sibling.
 // Workers identify a request by its ID alone, so a request with the ID of an open request is refused.
+//
+// In a hot restart the successor decides which IDs are free. It gets the IDs that are open in the predecessor before it
+// accepts connections, and from then on the predecessor claims each ID from it before it serves a request.
 type requestIDs struct {
 	mu        sync.Mutex // guards the fields below; no locks are acquired while it is held
 	local     map[string]struct{}
 	inSibling map[string]struct{}
+	claim     ClaimID  // claims an ID from the successor, nil if there is none
 	tracking  bool     // opened and closed are recorded for the sibling
 	opened    []string // IDs opened since the last call of changes
 	closed    []string // IDs closed since the last call of changes
 }
 
-// open adds an ID, and reports whether it was free.
-func (i *requestIDs) open(id string) bool {
+// ClaimID claims the ID of a request from the successor. It returns false if a request with the ID is open there, and an
+// error if that is unknown.
+type ClaimID func(id string) (granted bool, err error)
+
+// open adds an ID, and reports whether it was free. The error is that of ClaimID.
+func (i *requestIDs) open(id string) (free bool, err error) {
+	claim, free := i.openLocally(id)
+	if !free || claim == nil {
+		return free, nil
+	}
+	granted, err := claim(id)
+	if !granted || err != nil {
+		i.close(id)
+		return false, err
+	}
+	return true, nil
+}
+
+// openLocally adds an ID if it is free as far as this process knows. It returns the function that claims it from the
+// successor, nil if there is none.
+func (i *requestIDs) openLocally(id string) (claim ClaimID, free bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	_, local := i.local[id]
 	_, inSibling := i.inSibling[id]
 	if local || inSibling {
-		return false
+		return nil, false
 	}
+	i.add(id)
+	return i.claim, true
+}
+
+// add adds an ID. The caller must hold mu.
+func (i *requestIDs) add(id string) {
 	if i.local == nil {
 		i.local = map[string]struct{}{}
 	}
@@ -29,15 +58,14 @@
 	if i.tracking {
 		i.opened = append(i.opened, id)
 	}
-	return true
 }
 
 // openMigrated adds the ID of a request that was migrated from the sibling.
 func (i *requestIDs) openMigrated(id string) {
 	i.mu.Lock()
+	defer i.mu.Unlock()
 	delete(i.inSibling, id)
-	i.mu.Unlock()
-	i.open(id)
+	i.add(id)
 }
 
 // close frees the ID of a request that has ended.
@@ -87,10 +115,40 @@
 	}
 }
 
-// forgetSibling removes the IDs of a sibling that has exited, and stops recording changes.
+// startClaiming sets the function that claims IDs from the successor, and returns the IDs that are open now. Each later
+// ID is claimed.
+func (i *requestIDs) startClaiming(claim ClaimID) (open []string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.claim = claim
+	for id := range i.local {
+		open = append(open, id)
+	}
+	return open
+}
+
+// addInSibling records that the sibling has opened IDs.
+func (i *requestIDs) addInSibling(ids []string) { i.applySibling(ids, nil) }
+
+// grant records that the predecessor serves a request with an ID, unless one with this ID is open in this process.
+func (i *requestIDs) grant(id string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if _, local := i.local[id]; local {
+		return false
+	}
+	if i.inSibling == nil {
+		i.inSibling = map[string]struct{}{}
+	}
+	i.inSibling[id] = struct{}{}
+	return true
+}
+
+// forgetSibling removes the IDs of a sibling that has exited, and stops recording changes and claiming IDs.
 func (i *requestIDs) forgetSibling() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.claim = nil
 	i.inSibling = nil
 	i.tracking = false
 	i.opened = nil
--- a/internal/proxy/sibling.go
+++ b/internal/proxy/sibling.go
@@ -62,3 +62,16 @@
 	p.balancer.UpdateSibling(sibling, nil)
 	p.requestIDs.forgetSibling()
 }
+
+// StartClaimingIDs makes this process, the predecessor, claim the ID of each request from its successor before it serves
+// the request. It returns the IDs of the requests that are open already.
+func (p *Proxy) StartClaimingIDs(claim ClaimID) (open []string) {
+	return p.requestIDs.startClaiming(claim)
+}
+
+// AddSiblingIDs records the IDs of requests that are open in the predecessor.
+func (p *Proxy) AddSiblingIDs(ids []string) { p.requestIDs.addInSibling(ids) }
+
+// GrantID records that the predecessor serves a request, unless a request with the ID is open in this process. It
+// reports whether that is so.
+func (p *Proxy) GrantID(id string) (granted bool) { return p.requestIDs.grant(id) }
--- a/internal/proxy/snapshot_test.go
+++ b/internal/proxy/snapshot_test.go
@@ -15,7 +15,7 @@
 	predecessor := newProxy(peertest.ClosedAddress)
 	drained := protocol.Endpoint{ID: "v", Address: peertest.ClosedAddress, Zone: "z", State: protocol.Terminating}
 	predecessor.MergeEndpoints([]protocol.Endpoint{drained})
-	predecessor.requestIDs.open("a1")
+	opens(t, &predecessor.requestIDs, "a1")
 	text, err := json.Marshal(predecessor.Snapshot())
 	assert.NoError(t, err)
 	successor := newProxyWith(peertest.ClosedAddress, func(_ *balancer.Config, config *Config) { config.PredecessorSnapshot = text })
