Limit what all attempts in flight have received to a share of the memory limit

Cause: where there is an admin address, each attempt keeps what it has read for a hot restart, up to 1 MiB, and nothing counted all of it.

Change: the recordings of a pool share a budget, which follows memory_mb (recordingShare, 1/16). A response that exceeds the budget, or 1 MiB, ends its attempt like a malformed one. Before, a recording over 1 MiB was dropped and its response read on.

--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -110,6 +110,7 @@
 	p.shards = balancer.NewShards(p.config.Balancer, p.config.shardCount(), p.config.Seed, p.clock,
 		func(event balancer.Event) { logBalancerEvent(p.log, event) })
 	p.pool = transport.NewPool(p.limits.workerConnections, p.config.WorkerIdleTimeout, p.log)
+	p.pool.SetRecordingLimit(p.limits.recordingBytes)
 }
 
 // connectToPredecessor receives the state and the sockets of a process that serves under the same name and addresses,
--- a/internal/daemon/resource_limits.go
+++ b/internal/daemon/resource_limits.go
@@ -8,6 +8,7 @@
 	heapShare             = 0.75     // fraction of the memory limit that is the limit of the garbage collector
 	connectionMemoryShare = 0.5      // fraction of the memory limit for connections
 	bodyMemoryShare       = 0.125    // fraction of the memory limit for request bodies
+	recordingShare        = 1.0 / 16 // fraction of the memory limit for what attempts in flight have received
 	bytesPerConnection    = 32 << 10 // memory for each connection
 	mebibyte              = 1 << 20  // bytes
 
@@ -28,6 +29,7 @@
 	clientConnections int   // maximum open client connections, excluding those being rejected
 	workerConnections int   // maximum open worker connections, including idle ones
 	bodyBytes         int64 // memory limit for all request bodies
+	recordingBytes    int64 // memory limit for what attempts in flight have received
 	heapBytes         int64 // memory limit of the garbage collector
 }
 
@@ -46,6 +48,7 @@
 		clientConnections: clients,
 		workerConnections: connections - clients - rejected,
 		bodyBytes:         int64(memory * bodyMemoryShare),
+		recordingBytes:    int64(memory * recordingShare),
 		heapBytes:         int64(memory * heapShare),
 	}
 }
--- a/internal/transport/byte_budget.go
+++ b/internal/transport/byte_budget.go
@@ -2,8 +2,8 @@
 
 import "sync/atomic"
 
-// byteBudget limits the total size of the request bodies in memory, over all connections. The announced length of a
-// body is reserved before the body is read, so that concurrent bodies can't exceed the limit together.
+// byteBudget limits the total size of data in memory, over all connections: of request bodies, whose announced length
+// is reserved before they are read, or of recordings, whose capacity is reserved before they grow.
 type byteBudget struct {
 	available atomic.Int64 // bytes that may still be reserved
 }
--- a/internal/transport/byte_stream.go
+++ b/internal/transport/byte_stream.go
@@ -15,7 +15,8 @@
 	recording    *readRecorder // nil if reads are not recorded
 }
 
-// Read returns the data to be replayed first, and then reads from the connection.
+// Read returns the data to be replayed first, and then reads from the connection. It fails with errRecordingTooLong if
+// the data can't be recorded.
 func (s *byteStream) Read(p []byte) (n int, err error) {
 	if len(s.replay) > 0 {
 		n = copy(p, s.replay)
@@ -25,7 +26,9 @@
 	}
 	s.bytesRead.Add(int64(n))
 	if s.recording != nil {
-		s.recording.record(p[:n])
+		if recordErr := s.recording.record(p[:n]); recordErr != nil {
+			return n, recordErr
+		}
 	}
 	return n, err
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -54,7 +54,9 @@
 	acceptsInterim bool   // the client understands interim (1xx) responses
 	stopCloseWatch func() // stops the watch started by WatchForClose
 
-	idleSince time.Time // time at which the connection became idle in a Pool
+	// Fields of worker connections.
+	idleSince       time.Time   // time at which the connection became idle in a Pool
+	recordingBudget *byteBudget // memory for the recordings of all connections of the Pool
 
 	testHooks connTestHooks
 }
@@ -89,6 +91,8 @@
 		log:      log,
 		openedAt: time.Now(),
 		onClose:  onClose,
+
+		recordingBudget: &byteBudget{}, // a Pool sets its own
 	}
 }
 
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -30,9 +30,10 @@
 
 // Pool manages the idle and active connections to workers and limits their number. It is safe for concurrent use.
 type Pool struct {
-	log     zerolog.Logger
-	maxIdle time.Duration // maximum duration for which a connection is kept idle
-	slots   chan struct{} // one element for each connection and each withheld slot
+	log        zerolog.Logger
+	maxIdle    time.Duration // maximum duration for which a connection is kept idle
+	slots      chan struct{} // one element for each connection and each withheld slot
+	recordings byteBudget    // memory for the recordings of all connections
 
 	mu           sync.Mutex
 	withheld     int // number of slots disabled by SetLimit
@@ -60,7 +61,7 @@
 
 // NewPool returns a pool of at most limit connections to workers that close idle connections after workerIdleTimeout.
 func NewPool(limit int, workerIdleTimeout time.Duration, log zerolog.Logger) *Pool {
-	return &Pool{
+	p := &Pool{
 		log:        log,
 		maxIdle:    workerIdleTimeout / idleDivisor,
 		slots:      make(chan struct{}, limit),
@@ -69,8 +70,13 @@
 		closeOnPut: map[*Conn]bool{},
 		dialing:    map[*pendingDial]bool{},
 	}
+	p.SetRecordingLimit(defaultRecordingBytes)
+	return p
 }
 
+// SetRecordingLimit limits the memory for the recordings of all connections. It must be called before Get.
+func (p *Pool) SetRecordingLimit(bytes int64) { p.recordings.available.Store(bytes) }
+
 // Get returns an idle connection to an address that satisfies policy, or a new one. The caller owns the connection
 // until it calls Put or CloseFor. If all slots are in use, Get waits for one. It returns ErrPoolExhausted if ctx ends
 // during this wait, and otherwise errors of connecting.
@@ -136,6 +142,7 @@
 		delete(p.closeOnPut, c)
 		p.mu.Unlock()
 	})
+	c.recordingBudget = &p.recordings
 	p.mu.Lock()
 	p.inUse[c] = addr
 	p.mu.Unlock()
