Keep receiving handed-over requests if the result of a call cannot be sent

If a claim's result could not be written within its timeout, the successor stopped receiving, and requests that the predecessor was handing over would have got no answer.

Change: Link.handle drops a result that cannot be sent. The call times out, and a broken connection ends the receiving loop by itself.

Tests: those of hotrestart pass; the case itself has no test.

--- a/internal/hotrestart/link.go
+++ b/internal/hotrestart/link.go
@@ -217,15 +217,13 @@
 		if err != nil {
 			return err
 		}
-		if err := l.handle(h, m); err != nil {
-			return err
-		}
+		l.handle(h, m)
 	}
 }
 
-// handle calls the functions for the fields that a message has set, and returns the results of calls. It closes the
-// files unless Request receives them. The error is that of the connection.
-func (l *Link) handle(h Handler, m receivedMessage) error {
+// handle calls the functions for the fields that a message has set, and sends the results of calls. It closes the files
+// unless Request receives them.
+func (l *Link) handle(h Handler, m receivedMessage) {
 	if m.Result != nil {
 		l.deliverResult(*m.Result)
 	}
@@ -240,19 +238,19 @@
 	}
 	if m.Request != nil && h.Request != nil {
 		h.Request(m.Request, m.files)
-		return nil
+		return
 	}
 	closeFiles(m.files)
-	return l.handleIDs(h, m)
+	l.handleIDs(h, m)
 }
 
-// handleIDs returns the results of calls about request IDs.
-func (l *Link) handleIDs(h Handler, m receivedMessage) error {
+// handleIDs sends the results of calls about request IDs. If a result cannot be sent, the call times out: requests that
+// the other process hands over are still received.
+func (l *Link) handleIDs(h Handler, m receivedMessage) {
 	switch {
 	case m.SyncIDs && h.SyncIDs != nil:
-		return l.send(message{Result: &callResult{CallID: m.CallID, IDs: h.SyncIDs()}})
+		_ = l.send(message{Result: &callResult{CallID: m.CallID, IDs: h.SyncIDs()}})
 	case m.Claim != "" && h.Claim != nil:
-		return l.send(message{Result: &callResult{CallID: m.CallID, Refused: !h.Claim(m.Claim)}})
+		_ = l.send(message{Result: &callResult{CallID: m.CallID, Refused: !h.Claim(m.Claim)}})
 	}
-	return nil
 }
