Tests: no address of a closed listener where a refusal is expected

Two tests closed a listener and expected that its address refuses connections, but another socket could get the port in between.

Change: both use peertest.ReserveAddress, which keeps the port and refuses. What they check is the same.

--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -97,10 +97,7 @@
 
 func TestAttemptWithoutConnectionWasNotExecuted(t *testing.T) {
 	t.Run("connection refused", func(t *testing.T) {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NoError(t, err)
-		listener.Close()
-		ended := runTestAttempt(context.Background(), t, listener.Addr().String())
+		ended := runTestAttempt(context.Background(), t, peertest.ReserveAddress(t))
 		assert.Equal(t, balancer.ConnectionRefused, ended.outcome)
 	})
 	t.Run("canceled before it was sent", func(t *testing.T) {
--- a/internal/transport/pool_slots_test.go
+++ b/internal/transport/pool_slots_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -34,11 +33,8 @@
 }
 
 func TestFailedDialFreesItsSlot(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NoError(t, err)
-	ln.Close()
 	pool := NewPool(1, time.Minute, zerolog.Nop())
-	_, err = pool.Get(context.Background(), ln.Addr().String(), AnyConnection)
+	_, err := pool.Get(context.Background(), peertest.ReserveAddress(t), AnyConnection)
 	assert.Error(t, err)
 	assert.Empty(t, pool.slots)
 }
