Answer a request whose ID cannot be claimed with an error, not a rejection

What callers would have seen: found by reading the change once more. In a hot restart whose successor does not answer a claim within 250 ms, the request was answered 503, which says that a retry is harmless.

Change: the response is 502, as for every unknown outcome. No worker gets the request, as before.

Measured: TestRequestWhoseIDCannotBeClaimedIsNotRejected failed with 503 in place of 502 without the change, and passes now.

--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -27,9 +27,9 @@
 		return p.RejectMalformed(err)
 	}
 	switch free, err := p.requestIDs.open(request.ID); {
-	case err != nil: // the request has not been sent to a worker, so the client may retry it
+	case err != nil: // a request with the ID may be running at the successor
 		p.log.Warn().Err(err).Str("id", request.ID).Msg("request ID not claimed")
-		return p.respondUnavailable(0)
+		return p.respondFailed()
 	case !free:
 		return p.respondDuplicateID()
 	}
--- a/internal/proxy/request_ids_test.go
+++ b/internal/proxy/request_ids_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+
+	"canvasroute/internal/peertest"
 )
 
 // opens opens an ID that need not be claimed, and reports whether it was free.
@@ -77,3 +79,12 @@
 	ids.startClaiming(func(string) (bool, error) { return true, nil })
 	assert.True(t, opens(t, &ids, "a"))
 }
+
+// A request whose ID cannot be claimed may be running at the successor, so it must not be answered with a rejection,
+// which would tell the client that a retry is harmless.
+func TestRequestWhoseIDCannotBeClaimedIsNotRejected(t *testing.T) {
+	p := newProxy(peertest.ClosedAddress)
+	p.StartClaimingIDs(func(string) (bool, error) { return false, errors.New("no result") })
+	assert.Equal(t, 502, serve(p, requestHead("once")).Status)
+	assert.Zero(t, p.counters.sent.Load())
+}
