--- /dev/null
+++ b/review/standins-2/case_drain.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// drainGrace is the grace of the settings, the 50 ms that each time limit is longer on sockets, and 100 ms for the
+// delays of this machine.
+const drainGrace = 500*time.Millisecond + 50*time.Millisecond + 100*time.Millisecond
+
+// lookup is the class of the cases on drains.
+var lookup = []operation{{name: "status", repeat: "idempotent", aimS: 0.5, timeS: 2}}
+
+// startFleet starts dispatchers that share one discovery.
+func startFleet(env *environment, d *discovery, count int, mode string) ([]*dispatcher, error) {
+	var fleet []*dispatcher
+	for n := range count {
+		p, err := env.startDispatcher(dispatcherConfig{
+			name: fmt.Sprintf("n%d", n), discovery: d.address, settings: newSettings(n, count, mode, lookup),
+		})
+		if err != nil {
+			return nil, err
+		}
+		fleet = append(fleet, p)
+	}
+	for _, p := range fleet {
+		if err := p.awaitHealthy(20 * time.Second); err != nil {
+			return nil, err
+		}
+	}
+	return fleet, nil
+}
+
+// load sends requests to each dispatcher at an interval until stop is called.
+func load(env *environment, fleet []*dispatcher, interval time.Duration) (stop func()) {
+	var clients sync.WaitGroup
+	done := make(chan struct{})
+	for _, p := range fleet {
+		clients.Go(func() {
+			ticker := time.NewTicker(interval)
+			defer ticker.Stop()
+			for {
+				select {
+				case <-ticker.C:
+				case <-done:
+					return
+				}
+				clients.Go(func() {
+					send(env, p.listen, request{id: newID(), kind: "status", deadline: 2 * time.Second}, 3*time.Second)
+				})
+			}
+		})
+	}
+	return func() {
+		close(done)
+		clients.Wait()
+	}
+}
+
+// lateSends returns the jobs that a worker got after the grace that follows the time when its drain counts as told.
+func lateSends(env *environment, w *worker, toldAt time.Time) (breaks []string) {
+	late := 0
+	var last time.Duration
+	for _, j := range w.received() {
+		if after := j.begun.Sub(toldAt); after > drainGrace {
+			late++
+			last = after
+			env.noteAt(j.begun, "%s: %s came %.3f s after the drain counted as told", w.name, j.id, after.Seconds())
+		}
+	}
+	if late > 0 {
+		breaks = append(breaks, fmt.Sprintf("%d requests were sent to %s later than the grace, the last %.3f s after the "+
+			"drain counted as told", late, w.name, last.Seconds()))
+	}
+	return breaks
+}
+
+// rejectedCase: discovery has too many callers for 20 s, and rejects each call after a wait. After that it serves, and
+// a worker begins to drain.
+func rejectedCase(env *environment) ([]string, error) {
+	const crowdFor, callWait = 20 * time.Second, 1200 * time.Millisecond
+	d, err := startDiscovery(env)
+	if err != nil {
+		return nil, err
+	}
+	workers, err := startWorkers(env, d, 5, runFor(20*time.Millisecond))
+	if err != nil {
+		return nil, err
+	}
+	fleet, err := startFleet(env, d, 10, "subscribe")
+	if err != nil {
+		return nil, err
+	}
+	stop := load(env, fleet, 100*time.Millisecond)
+	time.Sleep(time.Second)
+	if env.trouble {
+		d.become(crowded, callWait)
+	}
+	time.Sleep(crowdFor)
+	if env.trouble {
+		d.become(serving, 0)
+	}
+	time.Sleep(callWait) // calls that still wait end as before
+	drainedAt := time.Now()
+	d.set(workers[1].listed("Terminating"))
+	time.Sleep(16 * time.Second)
+	stop()
+	return lateSends(env, workers[1], drainedAt.Add(6*time.Second)), nil
+}
+
+// pushCase: lists are pushed. Discovery is down for 8 s, and a worker begins to drain in that time.
+func pushCase(env *environment) ([]string, error) {
+	const downFor = 8 * time.Second
+	d, err := startDiscovery(env)
+	if err != nil {
+		return nil, err
+	}
+	workers, err := startWorkers(env, d, 5, runFor(20*time.Millisecond))
+	if err != nil {
+		return nil, err
+	}
+	fleet, err := startFleet(env, d, 4, "automatic")
+	if err != nil {
+		return nil, err
+	}
+	stop := load(env, fleet, 60*time.Millisecond)
+	time.Sleep(time.Second)
+	if env.trouble {
+		d.become(down, 0)
+	}
+	time.Sleep(downFor / 2)
+	d.set(workers[1].listed("Terminating"))
+	told := time.Now()
+	time.Sleep(downFor / 2)
+	if env.trouble {
+		d.become(serving, 0)
+		told = time.Now()
+	}
+	time.Sleep(6 * time.Second)
+	stop()
+	return lateSends(env, workers[1], told), nil
+}
