--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -22,6 +22,7 @@
 	kind     string
 	key      string
 	deadline time.Duration
+	body     string // "" for a short one
 }
 
 // bytes returns the request as it is sent.
@@ -30,7 +31,10 @@
 	if r.key != "" {
 		key = "Idempotency-Key: " + r.key + "\r\n"
 	}
-	body := "input of " + r.id
+	body := r.body
+	if body == "" {
+		body = "input of " + r.id
+	}
 	return fmt.Appendf(nil, "POST /api HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: %s\r\nReq-Kind: %s\r\nReq-Deadline: %.3f\r\n"+
 		"%sContent-Length: %d\r\n\r\n%s", r.id, r.kind, r.deadline.Seconds(), key, len(body), body)
 }
@@ -40,6 +44,7 @@
 	status     int // 0 for no whole answer
 	body       string
 	retryAfter time.Duration
+	closes     bool // the dispatcher closes the connection after it
 	sentAt     time.Time
 	at         time.Time // of the last byte, or of the end of the connection
 	err        error
@@ -62,6 +67,7 @@
 		return a
 	}
 	a.status = response.StatusCode
+	a.closes = response.Close
 	a.body = string(body)
 	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 	a.retryAfter = time.Duration(seconds * float64(time.Second))
--- a/review/standins-2/environment.go
+++ b/review/standins-2/environment.go
@@ -121,6 +121,7 @@
 type dispatcher struct {
 	name    string
 	listen  string
+	log     string // file
 	command *exec.Cmd
 	exited  chan struct{}
 	told    bool // the case has ended it
@@ -135,7 +136,8 @@
 	tmp       string // "" for a folder of its own
 	known     any
 	settings  object
-	sockets   int
+	sockets   int // 0 for 1024
+	memoryMB  int // 0 for 192
 }
 
 type object = map[string]any
@@ -151,9 +153,12 @@
 	if c.sockets == 0 {
 		c.sockets = 1024
 	}
+	if c.memoryMB == 0 {
+		c.memoryMB = 192
+	}
 	config := object{
 		"name": c.name, "listen": c.listen, "discovery": c.discovery, "seed": fmt.Sprintf("%x", time.Now().UnixNano()),
-		"limits":   object{"cores": 1.0, "memory_mb": 192, "sockets": c.sockets},
+		"limits":   object{"cores": 1.0, "memory_mb": c.memoryMB, "sockets": c.sockets},
 		"settings": c.settings,
 	}
 	if c.admin != "" {
@@ -193,7 +198,7 @@
 	if err := command.Start(); err != nil {
 		return nil, err
 	}
-	p := &dispatcher{name: c.name, listen: c.listen, command: command, exited: make(chan struct{})}
+	p := &dispatcher{name: c.name, listen: c.listen, log: log.Name(), command: command, exited: make(chan struct{})}
 	go func() {
 		command.Wait()
 		close(p.exited)
@@ -229,6 +234,12 @@
 func (p *dispatcher) awaitHealthy(limit time.Duration) error {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		select {
+		case <-p.exited:
+			log, _ := os.ReadFile(p.log)
+			return fmt.Errorf("dispatcher %s has ended: %s", p.name, log[max(0, len(log)-500):])
+		default:
+		}
 		answer, err := client.Get("http://" + p.listen + "/_health")
 		if err != nil {
 			continue
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -20,6 +20,9 @@
 	"rejected": rejectedCase,
 	"push":     pushCase,
 	"pipeline": pipelineCase,
+	"leave":    leaveCase,
+	"upgrade":  upgradeCase,
+	"restart":  restartCase,
 }
 
 // timeLimit ends a case that does not end by itself.
