--- a/review/standins-2/case_drain.go
+++ b/review/standins-2/case_drain.go
@@ -110,35 +110,50 @@
 	return lateSends(env, workers[1], drainedAt.Add(6*time.Second)), nil
 }
 
-// pushCase: lists are pushed. Discovery is down for 8 s, and a worker begins to drain in that time.
+// pushCase: lists are pushed to two dispatchers. Twice discovery is down for 8 s, and a worker begins to drain in that
+// time.
 func pushCase(env *environment) ([]string, error) {
-	const downFor = 8 * time.Second
 	d, err := startDiscovery(env)
 	if err != nil {
 		return nil, err
 	}
-	workers, err := startWorkers(env, d, 5, runFor(20*time.Millisecond))
+	workers, err := startWorkers(env, d, 6, runFor(20*time.Millisecond))
 	if err != nil {
 		return nil, err
 	}
-	fleet, err := startFleet(env, d, 4, "automatic")
+	fleet, err := startFleet(env, d, 2, "automatic")
 	if err != nil {
 		return nil, err
 	}
-	stop := load(env, fleet, 60*time.Millisecond)
-	time.Sleep(time.Second)
+	stop := load(env, fleet, 40*time.Millisecond)
+	toldAt := map[*worker]time.Time{}
+	for _, w := range workers[1:3] {
+		time.Sleep(2 * time.Second)
+		toldAt[w] = outage(env, d, w)
+		time.Sleep(6 * time.Second)
+	}
+	stop()
+	var breaks []string
+	for w, told := range toldAt {
+		breaks = append(breaks, lateSends(env, w, told)...)
+	}
+	return breaks, nil
+}
+
+// outage takes discovery down, lets a worker begin to drain in the middle, and returns when discovery is back. The
+// result is the time when the drain counts as told.
+func outage(env *environment, d *discovery, w *worker) (toldAt time.Time) {
+	const downFor = 8 * time.Second
 	if env.trouble {
 		d.become(down, 0)
 	}
 	time.Sleep(downFor / 2)
-	d.set(workers[1].listed("Terminating"))
-	told := time.Now()
+	d.set(w.listed("Terminating"))
+	toldAt = time.Now()
 	time.Sleep(downFor / 2)
 	if env.trouble {
 		d.become(serving, 0)
-		told = time.Now()
+		toldAt = time.Now()
 	}
-	time.Sleep(6 * time.Second)
-	stop()
-	return lateSends(env, workers[1], told), nil
+	return toldAt
 }
--- a/review/standins-2/environment.go
+++ b/review/standins-2/environment.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -107,14 +108,20 @@
 	return nil
 }
 
-// freeAddress returns a loopback address with a port that was free a moment ago.
+// freeAddress returns a loopback address with a port that was free a moment ago. The port is below those that the system
+// gives to outgoing connections.
 func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	const from, count, tries = 20000, 10000, 100
+	var err error
+	for range tries {
+		address := fmt.Sprintf("127.0.0.1:%d", from+rand.IntN(count))
+		var ln net.Listener
+		if ln, err = net.Listen("tcp", address); err == nil {
+			ln.Close()
+			return address, nil
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", err
 }
 
 // dispatcher is a process of the project's program.
