--- a/review/standins-2/case_drain.go
+++ b/review/standins-2/case_drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -10,15 +11,18 @@
 // delays of this machine.
 const drainGrace = 500*time.Millisecond + 50*time.Millisecond + 100*time.Millisecond
 
-// lookup is the class of the cases on drains.
-var lookup = []operation{{name: "status", repeat: "idempotent", aimS: 0.5, timeS: 2}}
+// The classes of the cases on drains.
+var (
+	lookup  = []operation{{name: "status", repeat: "idempotent", aimS: 0.5, timeS: 2}}
+	confirm = []operation{{name: "confirm", repeat: "at_most_once", aimS: 0.5, timeS: 2}}
+)
 
 // startFleet starts dispatchers that share one discovery.
-func startFleet(env *environment, d *discovery, count int, mode string) ([]*dispatcher, error) {
+func startFleet(env *environment, d *discovery, count int, mode string, operations []operation) ([]*dispatcher, error) {
 	var fleet []*dispatcher
 	for n := range count {
 		p, err := env.startDispatcher(dispatcherConfig{
-			name: fmt.Sprintf("n%d", n), discovery: d.address, settings: newSettings(n, count, mode, lookup),
+			name: fmt.Sprintf("n%d", n), discovery: d.address, settings: newSettings(n, count, mode, operations),
 		})
 		if err != nil {
 			return nil, err
@@ -34,7 +38,7 @@
 }
 
 // load sends requests to each dispatcher at an interval until stop is called.
-func load(env *environment, fleet []*dispatcher, interval time.Duration) (stop func()) {
+func load(env *environment, fleet []*dispatcher, interval time.Duration, kind string) (stop func()) {
 	var clients sync.WaitGroup
 	done := make(chan struct{})
 	for _, p := range fleet {
@@ -48,7 +52,7 @@
 					return
 				}
 				clients.Go(func() {
-					send(env, p.listen, request{id: newID(), kind: "status", deadline: 2 * time.Second}, 3*time.Second)
+					send(env, p.listen, request{id: newID(), kind: kind, deadline: 2 * time.Second}, 3*time.Second)
 				})
 			}
 		})
@@ -89,11 +93,11 @@
 	if err != nil {
 		return nil, err
 	}
-	fleet, err := startFleet(env, d, 10, "subscribe")
+	fleet, err := startFleet(env, d, 10, "subscribe", lookup)
 	if err != nil {
 		return nil, err
 	}
-	stop := load(env, fleet, 100*time.Millisecond)
+	stop := load(env, fleet, 100*time.Millisecond, lookup[0].name)
 	time.Sleep(time.Second)
 	if env.trouble {
 		d.become(crowded, callWait)
@@ -111,35 +115,77 @@
 }
 
 // pushCase: lists are pushed to two dispatchers. Twice discovery is down for 8 s, and a worker begins to drain in that
-// time.
+// time. It has finished what it had, and what it was sent within the grace, when it ends.
 func pushCase(env *environment) ([]string, error) {
 	d, err := startDiscovery(env)
 	if err != nil {
 		return nil, err
 	}
-	workers, err := startWorkers(env, d, 6, runFor(20*time.Millisecond))
+	leaving := leavingWorkers{endsAt: map[string]time.Time{}, killed: map[string]int{}}
+	workers, err := startWorkers(env, d, 6, leaving.run)
 	if err != nil {
 		return nil, err
 	}
-	fleet, err := startFleet(env, d, 2, "automatic")
+	fleet, err := startFleet(env, d, 2, "automatic", confirm)
 	if err != nil {
 		return nil, err
 	}
-	stop := load(env, fleet, 40*time.Millisecond)
+	stop := load(env, fleet, 40*time.Millisecond, confirm[0].name)
 	toldAt := map[*worker]time.Time{}
 	for _, w := range workers[1:3] {
 		time.Sleep(2 * time.Second)
 		toldAt[w] = outage(env, d, w)
+		leaving.end(env, w.name, toldAt[w].Add(1200*time.Millisecond))
 		time.Sleep(6 * time.Second)
 	}
 	stop()
 	var breaks []string
 	for w, told := range toldAt {
 		breaks = append(breaks, lateSends(env, w, told)...)
+		if n := leaving.killed[w.name]; n > 0 {
+			breaks = append(breaks, fmt.Sprintf("%d jobs ended with %s, unfinished", n, w.name))
+		}
 	}
 	return breaks, nil
 }
 
+// leavingWorkers are workers of which some end at a given time. Their jobs take 0.3 s.
+type leavingWorkers struct {
+	mu     sync.Mutex
+	endsAt map[string]time.Time
+	killed map[string]int // jobs that ran when the worker ended
+}
+
+// end lets a worker end.
+func (l *leavingWorkers) end(env *environment, name string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.endsAt[name] = at
+	env.noteAt(at, "%s ends", name)
+}
+
+func (l *leavingWorkers) run(w *worker, j job, say func(string, ...any)) {
+	end := func() (at time.Time, ends bool) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		at, ends = l.endsAt[w.name]
+		return at, ends
+	}
+	if at, ends := end(); ends && time.Now().After(at) {
+		panic(http.ErrAbortHandler) // there is no process any more
+	}
+	w.sayStarted(j, say)
+	time.Sleep(300 * time.Millisecond)
+	if at, ends := end(); ends && time.Now().After(at) {
+		l.mu.Lock()
+		l.killed[w.name]++
+		l.mu.Unlock()
+		w.env.note("%s: %s ended with the worker", w.name, j.id)
+		panic(http.ErrAbortHandler)
+	}
+	w.sayDone(j, say)
+}
+
 // outage takes discovery down, lets a worker begin to drain in the middle, and returns when discovery is back. The
 // result is the time when the drain counts as told.
 func outage(env *environment, d *discovery, w *worker) (toldAt time.Time) {
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -21,6 +21,7 @@
 	"push":     pushCase,
 	"pipeline": pipelineCase,
 	"leave":    leaveCase,
+	"leavers":  leaversCase,
 	"upgrade":  upgradeCase,
 	"restart":  restartCase,
 }
