--- a/review/standins-2/case_leavers.go
+++ b/review/standins-2/case_leavers.go
@@ -103,13 +103,16 @@
 			continue
 		}
 		r := request{id: newID(), kind: "confirm", deadline: l.deadline, body: l.body}
+		sentAt := time.Now()
 		conn.Write(r.bytes())
-		conn.SetReadDeadline(time.Now().Add(time.Duration(100+rand.IntN(1500)) * time.Millisecond))
+		conn.SetReadDeadline(sentAt.Add(time.Duration(100+rand.IntN(1500)) * time.Millisecond))
 		a := readAnswer(bufio.NewReader(conn))
 		conn.Close()
+		closedAt := time.Now()
 		if a.status == 0 {
-			leftAt.Store(r.id, time.Now())
+			leftAt.Store(r.id, closedAt)
 		}
+		env.noteAt(closedAt, "client: %s sent at %.3f, status %d, closed, error %v", r.id, env.seconds(sentAt), a.status, a.err)
 		if a.refused() {
 			time.Sleep(100 * time.Millisecond)
 		}
--- a/review/standins-2/case_upgrade.go
+++ b/review/standins-2/case_upgrade.go
@@ -147,9 +147,9 @@
 		if err == nil {
 			a = readAnswer(reader)
 		}
+		env.noteAt(a.at, "client: %s sent at %.3f, status %d, error %v", r.id, env.seconds(sentAt), a.status, a.err)
 		if a.status == 0 {
 			text := fmt.Sprintf("got no answer: sent at %.3f, ended after %.3f s: %v", env.seconds(sentAt), a.at.Sub(sentAt).Seconds(), a.err)
-			env.note("client: %s %s", r.id, text)
 			unanswered.Store(r.id, text)
 		}
 		if a.status == 0 || a.closes {
