--- a/review/standins-2/case_upgrade.go
+++ b/review/standins-2/case_upgrade.go
@@ -26,7 +26,7 @@
 // connections.
 func upgradeCase(env *environment) ([]string, error) {
 	l := upgradeLoad{
-		clients: 200, body: strings.Repeat("b", 40_000), work: 600 * time.Millisecond, deadline: 3 * time.Second, workers: 12,
+		clients: 300, body: strings.Repeat("b", 24_000), work: 600 * time.Millisecond, deadline: 3 * time.Second, workers: 12,
 	}
 	const upgrades, memoryMB, enough = 45, 64, 2
 	d, err := startDiscovery(env)
