--- a/review/standins-2/case_drain.go
+++ b/review/standins-2/case_drain.go
@@ -37,8 +37,8 @@
 	return fleet, nil
 }
 
-// load sends requests to each dispatcher at an interval until stop is called.
-func load(env *environment, fleet []*dispatcher, interval time.Duration, kind string) (stop func()) {
+// load sends requests to each dispatcher at an interval until stop is called. cost is the guess that they carry.
+func load(env *environment, fleet []*dispatcher, interval time.Duration, kind string, cost time.Duration) (stop func()) {
 	var clients sync.WaitGroup
 	done := make(chan struct{})
 	for _, p := range fleet {
@@ -52,7 +52,7 @@
 					return
 				}
 				clients.Go(func() {
-					send(env, p.listen, request{id: newID(), kind: kind, deadline: 2 * time.Second}, 3*time.Second)
+					send(env, p.listen, request{id: newID(), kind: kind, deadline: 2 * time.Second, cost: cost}, 3*time.Second)
 				})
 			}
 		})
@@ -97,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stop := load(env, fleet, 100*time.Millisecond, lookup[0].name)
+	stop := load(env, fleet, 100*time.Millisecond, lookup[0].name, 0)
 	time.Sleep(time.Second)
 	if env.trouble {
 		d.become(crowded, callWait)
@@ -130,7 +130,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stop := load(env, fleet, 40*time.Millisecond, confirm[0].name)
+	stop := load(env, fleet, 40*time.Millisecond, confirm[0].name, 0)
 	toldAt := map[*worker]time.Time{}
 	for _, w := range workers[1:3] {
 		time.Sleep(2 * time.Second)
--- a/review/standins-2/case_restart.go
+++ b/review/standins-2/case_restart.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stop := load(env, fleet, 50*time.Millisecond, lookup[0].name)
+	stop := load(env, fleet, 50*time.Millisecond, lookup[0].name, 0)
 	time.Sleep(time.Second)
 	stop()
 	known := d.whole()
@@ -41,7 +41,7 @@
 		return nil, err
 	}
 	env.note("dispatcher n1 says yes")
-	stop = load(env, []*dispatcher{p}, 10*time.Millisecond, lookup[0].name)
+	stop = load(env, []*dispatcher{p}, 10*time.Millisecond, lookup[0].name, 0)
 	time.Sleep(4 * time.Second)
 	stop()
 	return lateSends(env, workers[1], told), nil
--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -22,7 +22,8 @@
 	kind     string
 	key      string
 	deadline time.Duration
-	body     string // "" for a short one
+	body     string        // "" for a short one
+	cost     time.Duration // 0 for no guess
 }
 
 // bytes returns the request as it is sent.
@@ -31,6 +32,9 @@
 	if r.key != "" {
 		key = "Idempotency-Key: " + r.key + "\r\n"
 	}
+	if r.cost > 0 {
+		key += fmt.Sprintf("Req-Cost: %d\r\n", r.cost.Microseconds())
+	}
 	body := r.body
 	if body == "" {
 		body = "input of " + r.id
--- a/review/standins-2/environment.go
+++ b/review/standins-2/environment.go
@@ -136,15 +136,17 @@
 
 // dispatcherConfig is what a case sets for a dispatcher.
 type dispatcherConfig struct {
-	name      string
-	listen    string // "" for a free address
-	discovery string
-	admin     string // "" for none
-	tmp       string // "" for a folder of its own
-	known     any
-	settings  object
-	sockets   int // 0 for 1024
-	memoryMB  int // 0 for 192
+	name       string
+	listen     string // "" for a free address
+	discovery  string
+	admin      string // "" for none
+	tmp        string // "" for a folder of its own
+	known      any
+	settings   object
+	sockets    int    // 0 for 1024
+	memoryMB   int    // 0 for 192
+	peerListen string // "" without messages between dispatchers
+	peers      []string
 }
 
 type object = map[string]any
@@ -168,6 +170,9 @@
 		"limits":   object{"cores": 1.0, "memory_mb": c.memoryMB, "sockets": c.sockets},
 		"settings": c.settings,
 	}
+	if c.peerListen != "" {
+		config["peer_listen"], config["peers"] = c.peerListen, c.peers
+	}
 	if c.admin != "" {
 		config["mgmt"] = c.admin
 	}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -19,6 +19,7 @@
 	"window":   windowCase,
 	"rejected": rejectedCase,
 	"push":     pushCase,
+	"cold":     coldCase,
 	"pipeline": pipelineCase,
 	"leave":    leaveCase,
 	"leavers":  leaversCase,
--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -14,9 +14,10 @@
 type job struct {
 	id       string
 	key      string
-	deadline float64   // Req-Deadline, in seconds
-	begun    time.Time // when its head had arrived
-	complete time.Time // when its last byte had arrived
+	deadline float64         // Req-Deadline, in seconds
+	begun    time.Time       // when its head had arrived
+	complete time.Time       // when its last byte had arrived
+	gone     <-chan struct{} // closed when the dispatcher has closed the connection
 }
 
 // worker is a stand-in for a worker. Its jobs run at once and side by side.
@@ -80,7 +81,7 @@
 		w.env.note("%s: request broke before its last byte", w.name)
 		return
 	}
-	j := job{id: r.Header.Get("Req-Id"), key: r.Header.Get("Idempotency-Key"), begun: begun, complete: time.Now()}
+	j := job{id: r.Header.Get("Req-Id"), key: r.Header.Get("Idempotency-Key"), begun: begun, complete: time.Now(), gone: r.Context().Done()}
 	j.deadline, _ = strconv.ParseFloat(r.Header.Get("Req-Deadline"), 64)
 	w.mu.Lock()
 	w.jobs = append(w.jobs, j)
