Read all that a process has sent before its exit, also after a failed update

Cause: the last requests lie in the buffer of the Unix socket when the predecessor exits. The successor's next update then fails, and sendUpdates closed the link, with what was unread in it. The log line 'predecessor ended' says so: its cause was 'use of closed network connection' in place of EOF.

A failed send now ends sending only. Link refuses later messages, because the last one may have been written in part, and ends its half of the stream; the receiving goroutine reads until the other process has exited. The predecessor reads for one more second at most, so that a successor that hangs does not keep it from serving.

The same cause lost a LEAVE that an exiting successor had sent, and let a message follow a part of another one.

--- a/internal/daemon/hot_restart.go
+++ b/internal/daemon/hot_restart.go
@@ -148,18 +148,21 @@
 }
 
 // sendUpdates starts a goroutine that sends updates to the sibling until stop is called, ctx is done, or sending fails.
-// The goroutine closes the link when it returns, and stop waits for it.
-func (h *hotRestart) sendUpdates(ctx context.Context, link *hotrestart.Link, update func() proxy.SiblingUpdate) (stop func()) {
+// stop waits for the goroutine. After a failure, handleFailure is called. The link stays open, because messages that the
+// sibling has sent may not have been received yet.
+func (h *hotRestart) sendUpdates(ctx context.Context, link *hotrestart.Link, update func() proxy.SiblingUpdate,
+	handleFailure func(),
+) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		defer link.Close()
 		ticker := time.NewTicker(siblingUpdateInterval)
 		defer ticker.Stop()
 		for {
 			if err := link.SendSiblingUpdate(update()); err != nil {
-				return // the link is broken: the receiving goroutine logs the cause
+				handleFailure() // the sibling has exited or reads nothing: the receiving goroutine logs the cause
+				return
 			}
 			select {
 			case <-ticker.C:
--- a/internal/daemon/hot_restart_predecessor.go
+++ b/internal/daemon/hot_restart_predecessor.go
@@ -13,9 +13,15 @@
 	"canvasroute/internal/proxy"
 )
 
+// receiveAfterFailure is the time in which messages of a successor are received to which nothing can be sent. If it has
+// exited, all its messages have arrived.
+const receiveAfterFailure = time.Second
+
 // handleSuccessor exchanges updates with a successor that has received the sockets and the snapshot, until one of the
-// two processes exits. If the successor exits, this process resumes serving.
+// two processes exits. If the successor exits, or does not read the updates, this process resumes serving.
 func (h *hotRestart) handleSuccessor(ctx context.Context, link *hotrestart.Link) {
+	defer link.Close()
+	defer context.AfterFunc(ctx, link.Close)()
 	h.addSibling()
 	share := h.openConnectionShare().midpoint(h.fullConnectionShare())
 	stop := h.sendUpdates(ctx, link, func() proxy.SiblingUpdate {
@@ -30,7 +36,7 @@
 		update.ClientConnections = share.clients
 		update.WorkerConnections = share.workers
 		return update
-	})
+	}, func() { link.EndReceiveAfter(receiveAfterFailure) })
 	defer stop()
 	err := link.Receive(hotrestart.Handler{
 		Serving: func() { h.handOffToSuccessor(link) },
--- a/internal/daemon/hot_restart_successor.go
+++ b/internal/daemon/hot_restart_successor.go
@@ -47,9 +47,12 @@
 // handles its messages until it exits. Afterwards this process may use all of the resource limits.
 func (h *hotRestart) handlePredecessor(ctx context.Context) {
 	link := h.predecessor.Link
+	defer link.Close()
+	defer context.AfterFunc(ctx, link.Close)()
 	h.addSibling()
 	h.setConnectionLimits(h.fullConnectionShare().half()) // until the predecessor's first update
-	stop := h.sendUpdates(ctx, link, func() proxy.SiblingUpdate { return h.proxy.NextSiblingUpdate(balancer.Predecessor) })
+	stop := h.sendUpdates(ctx, link, func() proxy.SiblingUpdate { return h.proxy.NextSiblingUpdate(balancer.Predecessor) },
+		func() {}) // a predecessor that does not read may still hand over requests
 	defer stop()
 	commands := make(chan hotrestart.Command, maxPendingCommands)
 	defer close(commands)
--- a/internal/hotrestart/link.go
+++ b/internal/hotrestart/link.go
@@ -25,7 +25,9 @@
 	conn   *net.UnixConn
 	reader *bufio.Reader // reads from conn through a descriptorReader
 	files  []*os.File    // received descriptors of messages not parsed yet; used by the receiving goroutine only
-	sendMu sync.Mutex    // held while a message is written
+
+	sendMu  sync.Mutex // held while a message is written; guards sendErr
+	sendErr error      // why this process cannot send any more, nil while it can
 
 	callMu     sync.Mutex              // guards lastCallID and calls
 	lastCallID uint64                  // number of the last call, from 1
@@ -39,9 +41,13 @@
 	return l
 }
 
-// Close closes the link. The other process handles this as the exit of this process.
+// Close closes the link. The other process handles this as the exit of this process. Messages that have not been
+// received here are lost.
 func (l *Link) Close() { l.conn.Close() }
 
+// EndReceiveAfter ends Receive after a delay, unless the other process exits first.
+func (l *Link) EndReceiveAfter(limit time.Duration) { l.conn.SetReadDeadline(time.Now().Add(limit)) }
+
 // descriptorReader reads bytes from the connection of a link and appends the file descriptors that arrive with them to
 // Link.files.
 type descriptorReader struct{ link *Link }
@@ -73,7 +79,7 @@
 }
 
 // send sends a message with sockets, which also stay open in this process. It returns a *TooManySocketsError or the
-// error of the connection.
+// error of the connection. After an error of the connection no message can be sent, see stopSending.
 func (l *Link) send(m message, sockets ...Socket) error {
 	if len(sockets) > maxSockets {
 		return &TooManySocketsError{Sockets: len(sockets)}
@@ -88,9 +94,27 @@
 	line = append(line, '\n')
 	l.sendMu.Lock()
 	defer l.sendMu.Unlock()
-	l.conn.SetWriteDeadline(time.Now().Add(sendTimeout))
+	if l.sendErr != nil {
+		return l.sendErr
+	}
 	descriptors := make([]int, len(sockets))
-	return withDescriptors(sockets, descriptors, func() error { return l.writeLine(line, descriptors) })
+	return withDescriptors(sockets, descriptors, func() error {
+		l.conn.SetWriteDeadline(time.Now().Add(sendTimeout))
+		err := l.writeLine(line, descriptors)
+		if err != nil {
+			l.stopSending(err)
+		}
+		return err
+	})
+}
+
+// stopSending makes later sends fail. The last message may have been written in part, and the other process would read
+// another one as its continuation. The other process reads the end of the stream, and handles this as the exit of this
+// process. This process can still receive: the other one may have handed over requests before it exited. The caller must
+// hold sendMu.
+func (l *Link) stopSending(err error) {
+	l.sendErr = err
+	_ = l.conn.CloseWrite() // fails if the link is closed
 }
 
 // writeLine writes a line, and sends the descriptors with its first byte. The caller must hold sendMu.
@@ -208,8 +232,8 @@
 	Request func(json.RawMessage, map[string]*os.File)
 }
 
-// Receive handles messages sequentially until the other process exits or the link is closed. It returns the error that
-// ended the loop. It must be called once.
+// Receive handles messages sequentially until the other process exits or the link is closed. It handles all messages
+// that the other process has sent before its exit. It returns the error that ended the loop. It must be called once.
 func (l *Link) Receive(h Handler) error {
 	defer close(l.ended)
 	for {
