Close the sockets of a part of a message when the link of a hot restart ends

Cause: the sockets of a message arrive with its first byte, and Link keeps them until the message is complete. When the link ended within a message, nobody closed them. The same in the handshakes of both sides.

After an error Link.receive closes them. TestSocketsOfAPartOfAMessageAreClosed failed before in its three cases (time-out instead of the end of the connection) and passes now.

--- a/internal/hotrestart/link.go
+++ b/internal/hotrestart/link.go
@@ -156,8 +156,26 @@
 	files map[string]*os.File // by socket name; the receiver must close them
 }
 
-// receive reads the next message. It returns ErrVersionMismatch or the error of the connection.
+// receive reads the next message. It returns ErrVersionMismatch or the error of the connection. After an error no more
+// messages can be received.
 func (l *Link) receive() (receivedMessage, error) {
+	m, err := l.receiveMessage()
+	if err != nil {
+		l.closeUnusedFiles()
+	}
+	return m, err
+}
+
+// closeUnusedFiles closes the descriptors that have arrived with a message that was not received completely. Otherwise
+// the other ends of their connections would not see that both processes have closed them.
+func (l *Link) closeUnusedFiles() {
+	for _, file := range l.files {
+		file.Close()
+	}
+	l.files = nil
+}
+
+func (l *Link) receiveMessage() (receivedMessage, error) {
 	line, err := l.readLine()
 	if err != nil {
 		return receivedMessage{}, err
--- a/internal/hotrestart/link_test.go
+++ b/internal/hotrestart/link_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"io"
+	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
+	"golang.org/x/sys/unix"
 )
 
 // If a message was written in part, because the other process did not read in time, no other message may follow. The
@@ -24,3 +27,39 @@
 	assert.NoError(t, err, "the other direction is not affected")
 	assert.Equal(t, "LEAVE", command.Command)
 }
+
+// The sockets that were received with a part of a message must be closed. Otherwise their clients would wait for a
+// response until this process exits.
+func TestSocketsOfAPartOfAMessageAreClosed(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		receive func(*net.UnixConn) error
+	}{
+		{"request", func(conn *net.UnixConn) error { return newLink(conn).Receive(Handler{}) }},
+		{"handshake of a predecessor", func(conn *net.UnixConn) error {
+			_, err := receiveHandover(conn)
+			return err
+		}},
+		{"handshake of a successor", func(conn *net.UnixConn) error {
+			listener := Listener{}
+			return listener.handleSuccessor(t.Context(), conn)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sender, receiver := newSocketPair(t)
+			client, handedOver := newSocketPair(t)
+			raw, err := handedOver.SyscallConn()
+			assert.NoError(t, err)
+			assert.NoError(t, raw.Control(func(fd uintptr) {
+				_, _, err := sender.WriteMsgUnix([]byte(`{"sockets":["clients"],`), unix.UnixRights(int(fd)), nil)
+				assert.NoError(t, err)
+			}))
+			assert.NoError(t, handedOver.Close())
+			assert.NoError(t, sender.CloseWrite())
+			assert.Error(t, c.receive(receiver))
+			client.SetReadDeadline(time.Now().Add(time.Second))
+			_, err = client.Read(make([]byte, 1))
+			assert.ErrorIs(t, err, io.EOF)
+		})
+	}
+}
--- a/internal/hotrestart/listener.go
+++ b/internal/hotrestart/listener.go
@@ -83,6 +83,7 @@
 	if err != nil {
 		return err
 	}
+	closeFiles(first.files) // a successor has none to send
 	if err := first.checkVersion(); err != nil {
 		return err
 	}
