Keep receiving handed-over requests when a successor lacks descriptors

Link took the message for one of another version and ended the link, and the requests behind it were lost though the predecessor counted them as handed over. Not seen in a run of processes.

The descriptors of each message are now kept apart. A message whose descriptors were dropped is received without them, and those behind it with their own.

TestMessageWithoutSomeOfItsSocketsIsReceived failed before (neither of two messages was received) and passes now, as do the tests of hotrestart and daemon.

--- a/internal/hotrestart/link.go
+++ b/internal/hotrestart/link.go
@@ -24,7 +24,10 @@
 type Link struct {
 	conn   *net.UnixConn
 	reader *bufio.Reader // reads from conn through a descriptorReader
-	files  []*os.File    // received descriptors of messages not parsed yet; used by the receiving goroutine only
+
+	// unclaimed holds the received descriptors of each message with sockets that has not been parsed yet. It is used by
+	// the receiving goroutine only.
+	unclaimed [][]*os.File
 
 	sendMu  sync.Mutex // held while a message is written; guards sendErr
 	sendErr error      // why this process cannot send any more, nil while it can
@@ -49,22 +52,31 @@
 func (l *Link) EndReceiveAfter(limit time.Duration) { l.conn.SetReadDeadline(time.Now().Add(limit)) }
 
 // descriptorReader reads bytes from the connection of a link and appends the file descriptors that arrive with them to
-// Link.files.
+// Link.unclaimed. The kernel delivers those of different messages by different reads. It drops descriptors if this
+// process cannot open more files, and reports this by a flag.
 type descriptorReader struct{ link *Link }
 
 // Read implements io.Reader.
 func (r descriptorReader) Read(p []byte) (int, error) {
 	const descriptorBytes = 4
 	control := make([]byte, unix.CmsgSpace(maxSockets*descriptorBytes))
-	n, controlBytes, _, _, err := r.link.conn.ReadMsgUnix(p, control)
+	n, controlBytes, flags, _, err := r.link.conn.ReadMsgUnix(p, control)
 	n = max(n, 0)
-	if controlBytes <= 0 {
+	if controlBytes <= 0 && flags&unix.MSG_CTRUNC == 0 {
 		return n, err
 	}
-	messages, malformed := unix.ParseSocketControlMessage(control[:controlBytes])
-	if malformed != nil {
-		return n, errors.Join(err, malformed)
+	files, malformed := parseDescriptors(control[:max(controlBytes, 0)])
+	r.link.unclaimed = append(r.link.unclaimed, files)
+	return n, errors.Join(err, malformed)
+}
+
+// parseDescriptors returns the file descriptors in the control messages of one read.
+func parseDescriptors(control []byte) ([]*os.File, error) {
+	messages, err := unix.ParseSocketControlMessage(control)
+	if err != nil {
+		return nil, fmt.Errorf("hot restart: receiving sockets: %w", err)
 	}
+	var files []*os.File
 	for i := range messages {
 		descriptors, err := unix.ParseUnixRights(&messages[i])
 		if err != nil {
@@ -72,10 +84,10 @@
 		}
 		for _, fd := range descriptors {
 			unix.CloseOnExec(fd)
-			r.link.files = append(r.link.files, os.NewFile(uintptr(fd), "handed over"))
+			files = append(files, os.NewFile(uintptr(fd), "handed over"))
 		}
 	}
-	return n, err
+	return files, nil
 }
 
 // send sends a message with sockets, which also stay open in this process. It returns a *TooManySocketsError or the
@@ -153,7 +165,7 @@
 // receivedMessage is a message with the sockets that were sent with it.
 type receivedMessage struct {
 	message
-	files map[string]*os.File // by socket name; the receiver must close them
+	files map[string]*os.File // by socket name, without those that were dropped; the receiver must close them
 }
 
 // receive reads the next message. It returns ErrVersionMismatch or the error of the connection. After an error no more
@@ -169,10 +181,12 @@
 // closeUnusedFiles closes the descriptors that have arrived with a message that was not received completely. Otherwise
 // the other ends of their connections would not see that both processes have closed them.
 func (l *Link) closeUnusedFiles() {
-	for _, file := range l.files {
-		file.Close()
+	for _, files := range l.unclaimed {
+		for _, file := range files {
+			file.Close()
+		}
 	}
-	l.files = nil
+	l.unclaimed = nil
 }
 
 func (l *Link) receiveMessage() (receivedMessage, error) {
@@ -184,15 +198,25 @@
 	if err != nil {
 		return receivedMessage{}, err
 	}
-	if len(m.Sockets) > len(l.files) {
-		return receivedMessage{}, fmt.Errorf("%w: %d descriptors for %d sockets", ErrVersionMismatch, len(l.files), len(m.Sockets))
-	}
+	files, err := l.claimFiles(m.Sockets)
+	return receivedMessage{message: m, files: files}, err
+}
+
+// claimFiles returns the descriptors of the next message with sockets, by name. Those that were dropped, which are the
+// last ones, are missing.
+func (l *Link) claimFiles(names []string) (map[string]*os.File, error) {
 	files := map[string]*os.File{}
-	for n, name := range m.Sockets {
-		files[name] = l.files[n]
+	if len(names) == 0 {
+		return files, nil
+	}
+	if len(l.unclaimed) == 0 || len(l.unclaimed[0]) > len(names) {
+		return nil, fmt.Errorf("%w: no descriptors for %d sockets", ErrVersionMismatch, len(names))
+	}
+	for n, file := range l.unclaimed[0] {
+		files[names[n]] = file
 	}
-	l.files = l.files[len(m.Sockets):]
-	return receivedMessage{message: m, files: files}, nil
+	l.unclaimed = l.unclaimed[1:]
+	return files, nil
 }
 
 // readLine reads a line including its newline. It returns ErrVersionMismatch if the line is longer than
@@ -246,7 +270,8 @@
 	Claim func(id string) (granted bool)
 
 	// Request receives a request in flight that the predecessor hands over, and its sockets by name: ClientSocket for
-	// the client's connection, and the numbers of the attempts. It must close the files.
+	// the client's connection, and the numbers of the attempts. Sockets that this process could not receive are missing.
+	// It must close the files.
 	Request func(json.RawMessage, map[string]*os.File)
 }
 
--- a/internal/hotrestart/link_test.go
+++ b/internal/hotrestart/link_test.go
@@ -1,8 +1,13 @@
 package hotrestart
 
 import (
+	"encoding/json"
 	"io"
+	"maps"
 	"net"
+	"os"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -63,3 +68,35 @@
 		})
 	}
 }
+
+// If the sockets of a message do not all arrive, because the receiver has no free descriptors, only that message may be
+// incomplete. Requests that are handed over after it must be received with their own sockets.
+func TestMessageWithoutSomeOfItsSocketsIsReceived(t *testing.T) {
+	first, second := newSocketPair(t)
+	client, handedOver := newSocketPair(t)
+	raw, err := handedOver.SyscallConn()
+	assert.NoError(t, err)
+	names := []string{ClientSocket}
+	for n := range maxSockets { // one more than the receiver takes
+		names = append(names, strconv.Itoa(n))
+	}
+	line, err := marshal(message{Request: json.RawMessage("1"), Sockets: names})
+	assert.NoError(t, err)
+	assert.NoError(t, raw.Control(func(fd uintptr) {
+		rights := unix.UnixRights(slices.Repeat([]int{int(fd)}, len(names))...)
+		_, _, err := first.WriteMsgUnix(append(line, '\n'), rights, nil)
+		assert.NoError(t, err)
+	}))
+	assert.NoError(t, newLink(first).SendRequest(2, []Socket{{ClientSocket, client}}))
+	first.Close()
+	var received [][]string // names of the sockets of each request
+	err = newLink(second).Receive(Handler{Request: func(_ json.RawMessage, files map[string]*os.File) {
+		received = append(received, slices.Collect(maps.Keys(files)))
+		closeFiles(files)
+	}})
+	assert.ErrorIs(t, err, io.EOF)
+	if assert.Len(t, received, 2) {
+		assert.ElementsMatch(t, names[:maxSockets], received[0])
+		assert.Equal(t, []string{ClientSocket}, received[1])
+	}
+}
