Fail a deduplicated request that may have run instead of rejecting it

A deduplicated request (group: all workers) that had run was answered 429 after the time in which the workers drop its repeat.

Cause: mayReject did not look at the attempts of such a request. A rejection tells the client that trying again is harmless at any time, but the workers remember the key for the dedup window only. A limit on the time of the rejection would not do: the retry may wait before it is sent, and it counts a window of its own from its first attempt, so that a chain of rejections leads out of the first one.

Now only idempotent requests are rejected after an attempt that may have run; others fail, and a client retries within the window by itself.

TestDeduplicatedRequestThatMayHaveRunFails failed before.

--- a/internal/balancer/rejection.go
+++ b/internal/balancer/rejection.go
@@ -2,14 +2,11 @@
 
 import "slices"
 
-// mayReject reports whether the request may be rejected (the proxy responds with 429). The client may then retry on any
-// worker, so a repeat must be harmless on every worker, or the request must certainly not have run.
+// mayReject reports whether the request may be rejected (the proxy responds with 429). A rejection tells the client that
+// a retry is harmless, on any worker and at any time. A deduplicated request that may have run is therefore not
+// rejected, even if all workers would drop a repeat now: the client may retry when they have forgotten the key.
 func (b *Balancer) mayReject(req *request) bool {
-	op := &b.operations.byID[req.operation]
-	switch {
-	case op.idempotency == Idempotent:
-		return true
-	case op.idempotency == IdempotentByKey && op.dedupScope == ScopeAll:
+	if b.operations.byID[req.operation].idempotency == Idempotent {
 		return true
 	}
 	return !slices.ContainsFunc(req.attempts, func(earlier attempt) bool { return earlier.mayRun() })
--- a/internal/balancer/retry_test.go
+++ b/internal/balancer/retry_test.go
@@ -41,11 +41,24 @@
 		assertPermitted(idempotentOp, outcome, all)
 		assertPermitted(nonIdempotentOp, outcome, permittedRetries{})
 		assertPermitted(zoneKeyedOp, outcome, permittedRetries{sameZone: true})
-		assertPermitted(fleetKeyedOp, outcome, all)
+		assertPermitted(fleetKeyedOp, outcome, permittedRetries{sameZone: true, otherZone: true})
 		assertPermitted(cellKeyedOp, outcome, permittedRetries{sameZone: true})
 	}
 }
 
+// A deduplicated request that may have run must not be rejected, at whatever time. The client may retry a rejected
+// request when the workers have forgotten its key, and the effect would happen twice.
+func TestDeduplicatedRequestThatMayHaveRunFails(t *testing.T) {
+	const window = 5 * Second
+	for _, timeout := range []Duration{window / 2, 2 * window} {
+		balancer, effects := newWarmBalancer(1, 1)
+		submitRequest(balancer, 0, Arrival{Operation: fleetKeyedOp, Timeout: timeout, SizeHint: 100})
+		balancer.SetTime(balancer.now.Add(timeout))
+		balancer.RunDueRules()
+		assert.Contains(t, effects.lines, "fail 0", timeout)
+	}
+}
+
 func TestAttemptInFlightMayHaveRun(t *testing.T) {
 	balancer, _ := newWarmBalancer(4, 1)
 	req := newUnattemptedRequest(0)
--- a/internal/proxy/responses.go
+++ b/internal/proxy/responses.go
@@ -18,7 +18,7 @@
 //   - 405: the path does not support the method.
 //   - 409: another request with the same ID is open.
 //   - 429: the balancer rejected the request, and the client may retry it: it was not executed, or its operation is
-//     idempotent in the whole fleet.
+//     idempotent.
 //   - 502: the request failed, and its outcome is unknown.
 //   - 503: the request was rejected before it was submitted to the balancer. The process is drained, recovering or
 //     overloaded, has too many connections or too little memory for bodies, or stops before the request would complete.
