Watch a request's client and deadline until it is handed over in a hot restart

Cause: at SIGTERM all requests were taken out of the balancer at once, and the watch of each client was stopped. Then each waited for its turn on the link, up to a second. Nobody watched the client or the deadline meanwhile, and the successor could send a request before its own watch had looked at the client.

Now the predecessor takes a request out of the balancer when it is its turn, in a goroutine of its own, and waits until it has been sent; until then the request is served as ever. The successor looks at the client's socket before it continues a request, and cancels it if the client has left. Pick returns no attempt once the client is known to have left.

--- a/internal/balancer/request_handle.go
+++ b/internal/balancer/request_handle.go
@@ -24,18 +24,20 @@
 	return &RequestHandle{picker: p, ready: make(chan struct{}, 1), deadline: deadline}
 }
 
-// Pick blocks until the next decision for the request. If ctx is done first, the client has disconnected: Pick closes
-// the request and returns the cause of ctx.
+// Pick blocks until the next decision for the request. If ctx is done, the client has disconnected: Pick closes the
+// request and returns the cause of ctx, also if there is a decision.
 func (h *RequestHandle) Pick(ctx context.Context) (Decision, error) {
 	for {
+		if ctx.Err() != nil {
+			h.clientDisconnected()
+			return Decision{}, context.Cause(ctx)
+		}
 		if decision, ok := h.nextDecision(); ok {
 			return decision, nil
 		}
 		select {
 		case <-h.ready:
 		case <-ctx.Done():
-			h.clientDisconnected()
-			return Decision{}, context.Cause(ctx)
 		}
 	}
 }
--- a/internal/balancer/request_handle_test.go
+++ b/internal/balancer/request_handle_test.go
@@ -208,3 +208,14 @@
 	assert.Equal(t, 0, picker.OpenRequests())
 	assert.Less(t, time.Until(handle.deadline), 4*time.Second)
 }
+
+// An attempt that was decided on before its client was known to have disconnected must not be sent afterwards.
+func TestPickReturnsNoAttemptAfterTheClientHasDisconnected(t *testing.T) {
+	picker, _ := newTestPicker(testConfig, 2)
+	handle := picker.Submit(Arrival{Timeout: 3 * Second})
+	ctx, disconnect := context.WithCancel(t.Context())
+	disconnect()
+	_, err := handle.Pick(ctx)
+	assert.ErrorIs(t, err, context.Canceled)
+	assert.Equal(t, 0, picker.OpenRequests())
+}
--- a/internal/daemon/hot_restart.go
+++ b/internal/daemon/hot_restart.go
@@ -39,8 +39,9 @@
 //     the resource limits (hot_restart_limits.go), and each rejects a request whose ID is in flight at the other.
 //  4. LEAVE and JOIN run in the successor, and the predecessor learns of them (drainControl).
 //  5. After SIGTERM the predecessor hands over each request in flight, with the connections of its client and its
-//     attempts (exportRequests). It tries immediately, and retries with each update for requests that could not be
-//     moved yet.
+//     attempts (exportRequests), one after the other. Until its turn a request is watched and may be answered by the
+//     predecessor; the successor cancels it if its client has left meanwhile. Requests that could not be moved yet are
+//     tried again at intervals.
 //  6. When the predecessor has exited, the successor gets all of the resource limits. If the successor exits first, the
 //     predecessor resumes serving (handleSuccessorExit), unless it is stopping.
 //
@@ -63,7 +64,7 @@
 	datagrams *transport.DatagramSocket // nil if gossip is disabled
 	node      *fleet.Node               // nil if LB_FLEET is not set
 
-	exportMu sync.Mutex // serializes calls of proxy.ExportAll
+	stopping chan struct{} // closed when this process starts to stop, see startExport
 
 	mu           sync.Mutex
 	successor    *hotrestart.Link // link to the serving successor, nil if there is none
@@ -80,6 +81,7 @@
 	h := &hotRestart{
 		controlSocket: hotrestart.NewControlSocket(os.TempDir(), c.Name, c.Listen, c.PeerListen),
 		mayAccept:     make(chan struct{}),
+		stopping:      make(chan struct{}),
 		log:           log,
 	}
 	predecessor, err := hotrestart.Connect(h.controlSocket)
@@ -153,10 +155,7 @@
 func (h *hotRestart) sendUpdates(ctx context.Context, link *hotrestart.Link, update func() proxy.SiblingUpdate,
 	handleFailure func(),
 ) (stop func()) {
-	ctx, cancel := context.WithCancel(ctx)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
+	return h.runInBackground(ctx, func(ctx context.Context) {
 		ticker := time.NewTicker(siblingUpdateInterval)
 		defer ticker.Stop()
 		for {
@@ -170,6 +169,17 @@
 				return
 			}
 		}
+	})
+}
+
+// runInBackground calls a function in a goroutine, with a context that is done when stop is called. stop waits until the
+// function returns.
+func (h *hotRestart) runInBackground(ctx context.Context, run func(context.Context)) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		run(ctx)
 	}()
 	return func() {
 		cancel()
--- a/internal/daemon/hot_restart_predecessor.go
+++ b/internal/daemon/hot_restart_predecessor.go
@@ -25,9 +25,6 @@
 	h.addSibling()
 	share := h.openConnectionShare().midpoint(h.fullConnectionShare())
 	stop := h.sendUpdates(ctx, link, func() proxy.SiblingUpdate {
-		if h.isStopping() {
-			h.exportRequests()
-		}
 		if h.servingSuccessor() != nil {
 			share = share.shrinkTo(h.openConnectionShare())
 		}
@@ -38,6 +35,7 @@
 		return update
 	}, func() { link.EndReceiveAfter(receiveAfterFailure) })
 	defer stop()
+	defer h.runInBackground(ctx, func(ctx context.Context) { h.exportRequests(ctx, link) })()
 	err := link.Receive(hotrestart.Handler{
 		Serving: func() { h.handOffToSuccessor(link) },
 		SiblingUpdate: func(text json.RawMessage) {
@@ -128,23 +126,55 @@
 	return h.successor
 }
 
-// exportRequests hands over the requests in flight that can be moved now to the serving successor. It returns false if
-// there is no such successor.
-func (h *hotRestart) exportRequests() bool {
-	link := h.servingSuccessor()
-	if link == nil {
+// startExport lets the requests in flight be handed over, because this process is stopping. It returns false if there is
+// no serving successor now.
+func (h *hotRestart) startExport() bool {
+	if h == nil {
 		return false
 	}
-	h.exportMu.Lock()
-	defer h.exportMu.Unlock()
-	h.proxy.ExportAll(func(request *proxy.MigratedRequest, client syscall.Conn, attempts map[int]syscall.Conn) error {
-		sockets := []hotrestart.Socket{{Name: hotrestart.ClientSocket, Conn: client}}
-		for n, conn := range attempts {
-			sockets = append(sockets, hotrestart.Socket{Name: strconv.Itoa(n), Conn: conn})
+	close(h.stopping)
+	return h.servingSuccessor() != nil
+}
+
+// exportRequests hands over the requests in flight to a successor, once it is serving and this process is stopping. It
+// retries at intervals for requests that cannot be moved yet. It returns when ctx is done, or when nothing can be sent to
+// the successor any more: the other requests stay in this process.
+func (h *hotRestart) exportRequests(ctx context.Context, link *hotrestart.Link) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	migrator := func(request *proxy.MigratedRequest, client syscall.Conn, attempts map[int]syscall.Conn) error {
+		err := link.SendRequest(request, requestSockets(client, attempts))
+		if err != nil && !link.CanSend() {
+			cancel()
 		}
-		return link.SendRequest(request, sockets)
-	})
-	return true
+		return err
+	}
+	select {
+	case <-h.stopping:
+	case <-ctx.Done():
+		return
+	}
+	ticker := time.NewTicker(siblingUpdateInterval)
+	defer ticker.Stop()
+	for {
+		if h.servingSuccessor() == link {
+			h.proxy.ExportAll(ctx, migrator)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// requestSockets returns the sockets of a request, as Link.SendRequest expects them.
+func requestSockets(client syscall.Conn, attempts map[int]syscall.Conn) []hotrestart.Socket {
+	sockets := []hotrestart.Socket{{Name: hotrestart.ClientSocket, Conn: client}}
+	for n, conn := range attempts {
+		sockets = append(sockets, hotrestart.Socket{Name: strconv.Itoa(n), Conn: conn})
+	}
+	return sockets
 }
 
 // errSuccessorEnded is returned for a command that a successor should have run, if it has exited.
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -33,7 +33,7 @@
 	responseTime := min(p.config.MaxClientTimeout, maxShutdownClientTimeout) + responseMargin
 	p.state.Stop(time.Now())
 	p.server.CloseAllAfter(responseTime + closeMargin)
-	hasSuccessor := p.restart.exportRequests()
+	hasSuccessor := p.restart.startExport()
 	if !hasSuccessor {
 		p.proxy.SetStopTimeout(responseTime)
 	}
--- a/internal/hotrestart/link.go
+++ b/internal/hotrestart/link.go
@@ -120,6 +120,13 @@
 	})
 }
 
+// CanSend reports whether messages can be sent: no message has failed because of the connection.
+func (l *Link) CanSend() bool {
+	l.sendMu.Lock()
+	defer l.sendMu.Unlock()
+	return l.sendErr == nil
+}
+
 // stopSending makes later sends fail. The last message may have been written in part, and the other process would read
 // another one as its continuation. The other process reads the end of the stream, and handles this as the exit of this
 // process. This process can still receive: the other one may have handed over requests before it exited. The caller must
--- a/internal/proxy/migration_export.go
+++ b/internal/proxy/migration_export.go
@@ -32,29 +32,39 @@
 	request  *MigratedRequest
 	attempts map[int]*attempt // paused attempts, by attempt number
 	migrator Migrator
+	ended    chan struct{} // closed when the request has been passed on, or was abandoned
 }
 
-// ExportAll starts to migrate the requests in flight whose attempts are all waiting for their workers. Other requests
-// continue in this process; the caller repeats ExportAll until no request is in flight.
-func (p *Proxy) ExportAll(siblingMigrator Migrator) {
+// ExportAll migrates the requests in flight whose attempts are all waiting for their workers, one after the other, until
+// ctx ends. Before its turn a request stays in the balancer, so that its client and its deadline are watched, and it may
+// get its response here. Requests that cannot be migrated now continue in this process; the caller repeats ExportAll until
+// no request is in flight. ExportAll must not be called concurrently.
+func (p *Proxy) ExportAll(ctx context.Context, siblingMigrator Migrator) {
 	p.inFlight.Range(func(key, _ any) bool {
-		p.export(key.(*inFlightRequest), siblingMigrator)
+		if ctx.Err() != nil {
+			return false
+		}
+		if started := p.export(key.(*inFlightRequest), siblingMigrator); started != nil {
+			<-started.ended
+		}
 		return true
 	})
 }
 
 // export pauses the attempts of a request and exports the request from the balancer. The request's own goroutine then
-// passes it to the sibling process (migrate). If either step fails, export resumes the attempts without losing data.
-func (p *Proxy) export(r *inFlightRequest, siblingMigrator Migrator) {
-	if r.isMigrating() {
-		return
-	}
+// passes it to the sibling process (migrate). If either step fails, export resumes the attempts without losing data, and
+// returns nil.
+func (p *Proxy) export(r *inFlightRequest, siblingMigrator Migrator) *migration {
 	paused, allPaused := r.pauseAttempts()
-	if !allPaused || !p.exportFromBalancer(r, paused, siblingMigrator) {
-		for _, a := range paused {
-			a.pause.resumeReader()
+	if allPaused {
+		if started := p.exportFromBalancer(r, paused, siblingMigrator); started != nil {
+			return started
 		}
 	}
+	for _, a := range paused {
+		a.pause.resumeReader()
+	}
+	return nil
 }
 
 // pauseAttempts pauses the attempts in flight. It returns the paused attempts by attempt number, and reports whether
@@ -70,15 +80,15 @@
 	return paused, true
 }
 
-// exportFromBalancer exports a request from the balancer and sets its migration. It returns false if the balancer
-// refuses, because the request has a response or has attempts that are not paused. Both steps are done with mu held,
-// because the balancer wakes the request's goroutine, which needs the migration.
-func (p *Proxy) exportFromBalancer(r *inFlightRequest, paused map[int]*attempt, siblingMigrator Migrator) (ok bool) {
+// exportFromBalancer exports a request from the balancer and sets its migration. It returns nil if the balancer refuses,
+// because the request has a response or has attempts that are not paused. Both steps are done with mu held, because the
+// balancer wakes the request's goroutine, which needs the migration.
+func (p *Proxy) exportFromBalancer(r *inFlightRequest, paused map[int]*attempt, siblingMigrator Migrator) *migration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	balancing, exported := r.handle.Export(len(paused))
 	if !exported {
-		return false
+		return nil
 	}
 	migrated := &MigratedRequest{
 		Request:        r.request,
@@ -89,35 +99,35 @@
 	for _, a := range balancing.Attempts {
 		migrated.Workers = append(migrated.Workers, p.endpoints.Endpoint(a.Worker).ID)
 	}
-	r.migration = &migration{request: migrated, attempts: paused, migrator: siblingMigrator}
-	return true
+	r.migration = &migration{
+		request:  migrated,
+		attempts: paused,
+		migrator: siblingMigrator,
+		ended:    make(chan struct{}),
+	}
+	return r.migration
 }
 
-func (r *inFlightRequest) isMigrating() bool {
+// currentMigration returns the migration of a request, or nil if the request has not been exported.
+func (r *inFlightRequest) currentMigration() *migration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.migration != nil
+	return r.migration
 }
 
-// cancelMigration ends the paused attempts of a request whose client has disconnected.
+// cancelMigration ends the migration of a request whose client has disconnected, if it has been exported.
 func (r *inFlightRequest) cancelMigration() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.migration == nil {
-		return
+	if m := r.currentMigration(); m != nil {
+		m.end()
 	}
-	r.migration.endAttempts()
-	r.migration.attempts = nil
 }
 
 // migrate passes a request that export has prepared to the sibling process, and ends it in this process. If that fails,
 // the outcome of the request is unknown.
 func (p *Proxy) migrate(ctx context.Context, r *inFlightRequest) *protocol.Response {
-	r.mu.Lock()
-	m := *r.migration
-	r.mu.Unlock()
+	m := r.currentMigration()
 	err := m.transfer(ctx)
-	m.endAttempts()
+	m.end()
 	switch {
 	case ctx.Err() != nil:
 		return p.respondDisconnected()
@@ -144,12 +154,13 @@
 	return m.migrator(m.request, client.Socket, sockets)
 }
 
-// endAttempts ends the paused attempts in this process, whose goroutines then close their connections. The sibling
-// process has taken over the connections, or the migration was abandoned.
-func (m *migration) endAttempts() {
+// end ends the paused attempts in this process, whose goroutines then close their connections. The sibling process has
+// taken over the connections, or the migration was abandoned. The request's goroutine calls end exactly once.
+func (m *migration) end() {
 	for _, a := range m.attempts {
 		a.pause.endReader()
 	}
+	close(m.ended)
 }
 
 // collectSockets returns the sockets of the paused attempts by attempt number, and adds the bytes received on them to
--- a/internal/proxy/migration_test.go
+++ b/internal/proxy/migration_test.go
@@ -37,7 +37,7 @@
 		case response := <-responses:
 			assert.Equal(t, []any{200, "r"}, []any{response.Status, string(response.Body)})
 			assert.Greater(t, pauses, 3)
-			p.ExportAll(ignore)
+			p.ExportAll(t.Context(), ignore)
 			return
 		case <-time.After(retryInterval):
 		}
@@ -64,7 +64,7 @@
 	assert.Eventually(t, func() bool { return p.counters.sent.Load() == 1 }, peertest.EventTimeout, peertest.PollInterval)
 	refuse := func(*MigratedRequest, syscall.Conn, map[int]syscall.Conn) error { return errors.New("refused") }
 	for {
-		p.ExportAll(refuse)
+		p.ExportAll(t.Context(), refuse)
 		select {
 		case response := <-responses:
 			assert.Equal(t, 502, response.Status, "the request may have been executed")
--- a/internal/transport/close_watch.go
+++ b/internal/transport/close_watch.go
@@ -98,12 +98,13 @@
 	}
 }
 
-// closedWhileQueued reports whether a client closed its connection while the connection waited in the listener's queue.
-// The request of such a client must not be sent to a worker.
+// closedWhileUnwatched reports whether a client closed its connection while no process watched it: while the connection
+// waited in the listener's queue, or was handed over by a predecessor. The request of such a client must not be sent to
+// a worker.
 //
 // A client whose request was received less than queuedThreshold ago isn't probed: it can't have closed the connection
 // long ago, and WatchForClose detects a recent close in time.
-func (c *Conn) closedWhileQueued() bool {
+func (c *Conn) closedWhileUnwatched() bool {
 	socket, ok := c.nc.(syscall.Conn)
 	if !ok || timeSinceLastData(socket) < queuedThreshold {
 		return false
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -82,7 +82,7 @@
 	if admission == overLimit {
 		return s.respond(c, s.handler.RejectOverBudget(&request.head), protocol.CloseAfterResponse)
 	}
-	if !c.Reused() && c.closedWhileQueued() { // only a first request can have waited in the listener's queue
+	if !c.Reused() && c.closedWhileUnwatched() { // only a first request can have waited in the listener's queue
 		return ClientClosed, errClientClosed
 	}
 	persistence := persistenceFor(request.head.CloseRequested())
--- a/internal/transport/migration.go
+++ b/internal/transport/migration.go
@@ -52,7 +52,8 @@
 }
 
 // Import takes over a client connection from the predecessor and serves it in a new goroutine. finish returns the
-// response to the current request on the connection.
+// response to the current request on the connection. If the client has closed the connection, the context of finish is
+// canceled from the beginning.
 func (s *Server) Import(client MigratedClient, finish func(context.Context) *protocol.Response) {
 	c := newConn(client.Conn, Client, peerAddr(client.Conn), s.log, nil)
 	c.stream.replay = client.Pipelined
@@ -61,6 +62,9 @@
 	s.clients.markServing(c)
 	s.clients.markUseful(c)
 	s.conns.Go(func() error {
+		if c.closedWhileUnwatched() {
+			finish = withCanceledContext(finish)
+		}
 		reason, err := s.serveAndRespond(c, persistenceFor(client.CloseRequested), finish)
 		if reason != keepOpen {
 			c.CloseFor(reason, err)
@@ -72,6 +76,16 @@
 	})
 }
 
+// withCanceledContext returns a function that calls serve with a context that is canceled because the client has closed
+// its connection.
+func withCanceledContext(serve func(context.Context) *protocol.Response) func(context.Context) *protocol.Response {
+	return func(ctx context.Context) *protocol.Response {
+		ctx, cancel := context.WithCancelCause(ctx)
+		cancel(errClientClosed)
+		return serve(ctx)
+	}
+}
+
 // Import takes over a worker connection from the predecessor. The connection is owned by the caller. received is the
 // data that the predecessor has read on it since the last message was sent. The connection occupies a slot if one is
 // free.
--- a/internal/transport/migration_test.go
+++ b/internal/transport/migration_test.go
@@ -113,6 +113,25 @@
 	assert.Eventually(t, func() bool { return server.OpenConnections() == 0 }, testTimeout, time.Millisecond)
 }
 
+// A client may close its connection while no process watches it, because its request waits in the link of a hot restart.
+// The request must not be sent to a worker, so its context must be canceled when it is continued.
+func TestRequestOfAClientThatClosedBeforeTheImportIsCanceled(t *testing.T) {
+	server, _, _ := startServer(t, 4)
+	conn, peer, _ := connPair(t)
+	io.WriteString(peer, "x") // the request, which the predecessor has read
+	_, err := conn.nc.Read(make([]byte, 1))
+	assert.NoError(t, err)
+	assert.NoError(t, peer.Close())
+	time.Sleep(2 * queuedThreshold)
+	causes := make(chan error, 1)
+	server.Import(MigratedClient{Conn: conn.nc, AcceptsInterim: true}, func(ctx context.Context) *protocol.Response {
+		causes <- context.Cause(ctx)
+		return nil
+	})
+	assert.ErrorIs(t, peertest.Receive(t, causes), errClientClosed)
+	assert.Eventually(t, func() bool { return server.OpenConnections() == 0 }, testTimeout, time.Millisecond)
+}
+
 // A client that resets its connection while it waits in the listener's queue must not end the process either.
 func TestConnectionResetBeforeAcceptIsReleased(t *testing.T) {
 	server := newTestServer(listenLoopback(t), 4, newEchoHandler())
