Poll soon after a failure where lists are pushed

Cause: registryMode had no effect in a process. It polls in either mode, and after failed polls it waited as for a service that many dispatchers share, up to 4 s. Where lists are pushed, what the agent gets at its return counts at once.

The mode 'automatic' is now read, and there a failed or ended poll is repeated within half of settings.rules.drainGraceS; the other half is for the poll. The first poll after a start is due at once. Where lists are polled nothing changes.

The two tests of polling failed while the new setting had no effect.

--- a/internal/balancer/config.go
+++ b/internal/balancer/config.go
@@ -85,7 +85,9 @@
 
 // DiscoveryConfig configures how the endpoint list is obtained.
 type DiscoveryConfig struct {
-	Poll            bool     // the list is polled; otherwise it is pushed
+	Poll            bool     // the dispatcher polls the list, also where it is pushed by an agent that answers polls
+	Pushed          bool     // the list is pushed: what the service has must be in use within DrainGrace
+	DrainGrace      Duration // time for which attempts may still be sent to a worker after it has started to drain
 	MaxPollInterval Duration // longest poll interval that the platform allows
 	ChangeDeadline  Duration // time within which every dispatcher is expected to learn of a change; 0 for no deadline
 }
--- a/internal/balancer/derived_config.go
+++ b/internal/balancer/derived_config.go
@@ -94,6 +94,7 @@
 			Position:       config.Position,
 			MaxInterval:    config.Discovery.MaxPollInterval,
 			ChangeDeadline: config.Discovery.ChangeDeadline,
+			PushGrace:      pushGrace(config.Discovery),
 			AwaitFirstPoll: config.Discovery.ChangeDeadline > 0,
 		},
 	}
@@ -105,6 +106,17 @@
 	return derived
 }
 
+// minPushGrace limits how often a service that is down is polled, where lists are pushed.
+const minPushGrace = Duration(Second / 10)
+
+// pushGrace returns the time in which a change must be in use if lists are pushed, and 0 if they are polled.
+func pushGrace(discovery DiscoveryConfig) Duration {
+	if !discovery.Pushed {
+		return 0
+	}
+	return max(discovery.DrainGrace, minPushGrace)
+}
+
 // dispatchersPerWorker returns the number of dispatchers that use the same worker: all of them, unless gossip messages
 // to all of them about each attempt would cost more than maxGossipShare of the value of a request.
 func dispatchersPerWorker(config Config, gossiping bool) int {
--- a/internal/balancer/polling/polling.go
+++ b/internal/balancer/polling/polling.go
@@ -1,8 +1,9 @@
 // Package polling schedules the polls of the endpoint list and decides how long an old list may be used.
 //
-// A successful poll starts a watch: the service pushes changes of the list until the watch ends. The discovery service
-// serves many dispatchers, and a poll that times out costs it as much as a poll that it answers. Therefore dispatchers
+// A successful poll starts a watch: the service pushes changes of the list until the watch ends. Where lists are polled, the
+// discovery service serves many dispatchers, and a poll that times out costs it as much as a poll that it answers. Therefore dispatchers
 // that start together poll one after the other, and after a failure their total poll rate is no higher than at a start.
+// Where lists are pushed, an agent serves this dispatcher alone, and is polled again soon.
 package polling
 
 import "canvasroute/internal/balancer/tick"
@@ -36,6 +37,9 @@
 	// polls after a start are spread, and retryShare limits the wait after a failed poll.
 	firstPollShare = tick.Ratio{Numerator: 1, Denominator: 3}
 	retryShare     = tick.Ratio{Numerator: 2, Denominator: 3}
+	// pushRetryShare is the maximum wait after a failed poll if lists are pushed, as a share of PushGrace. The rest is
+	// for the poll.
+	pushRetryShare = tick.Ratio{Numerator: 1, Denominator: 2}
 )
 
 // Config holds the configuration of a Schedule.
@@ -49,6 +53,9 @@
 	// ChangeDeadline is the maximum delay between a change and its arrival at every dispatcher, even if polls fail. 0
 	// means that there is no deadline.
 	ChangeDeadline tick.Duration
+	// PushGrace is the time in which a change that the service has must be in use, if lists are pushed: the service is
+	// then an agent of this dispatcher alone. 0 means that lists are polled.
+	PushGrace tick.Duration
 	// AwaitFirstPoll forbids attempts based on a list from before the start until the first poll has ended.
 	AwaitFirstPoll bool
 }
@@ -59,8 +66,12 @@
 		tick.Duration(maxSpreadShare*float64(c.MaxInterval)))
 }
 
-// initialSpread returns the period over which the first polls after a start are spread.
+// initialSpread returns the period over which the first polls after a start are spread. An agent that pushes lists has no
+// other dispatchers to serve.
 func (c *Config) initialSpread() tick.Duration {
+	if c.PushGrace > 0 {
+		return 0
+	}
 	if c.ChangeDeadline > 0 {
 		return min(c.spread(), firstPollShare.Of(c.ChangeDeadline))
 	}
@@ -191,6 +202,9 @@
 	longest := maxWaitShare.Of(s.config.MaxInterval) <<
 		min(max(s.rejections-toleratedRejections, 0), maxRejectionDoublings)
 	wait := min(backoff+spread, longest)
+	if s.config.PushGrace > 0 {
+		return min(wait, pushRetryShare.Of(s.config.PushGrace))
+	}
 	if s.rejections > 0 {
 		return wait
 	}
--- a/internal/balancer/polling/polling_test.go
+++ b/internal/balancer/polling/polling_test.go
@@ -65,6 +65,36 @@
 	}
 }
 
+// Where lists are pushed, what the service has must be in use within a grace period. A dispatcher that waited longer after
+// an outage would send attempts to workers that had started to drain meanwhile.
+func TestPushedListIsPolledAgainWithinTheGracePeriod(t *testing.T) {
+	const grace = tick.Duration(tick.Second / 2)
+	for _, end := range []WatchEnd{WatchFailed, WatchRejected, WatchDisconnected, WatchSilent} {
+		schedule := NewSchedule(Config{
+			Dispatchers:    350,
+			MaxInterval:    10 * tick.Second,
+			ChangeDeadline: 6 * tick.Second,
+			PushGrace:      grace,
+		})
+		for range 12 {
+			schedule.RecordWatchEnd(end)
+			schedule.RecordFailure(now, longWaitRandom)
+			assert.LessOrEqual(t, schedule.DueAt(), now.Add(grace/2), "half of it is for the poll")
+		}
+	}
+}
+
+func TestFirstPollOfAPushedListIsDueAtOnce(t *testing.T) {
+	schedule := NewSchedule(Config{
+		Dispatchers: 350,
+		Position:    349,
+		MaxInterval: 10 * tick.Second,
+		PushGrace:   tick.Second,
+	})
+	schedule.RecordNonDiscoveryList(now)
+	assert.Equal(t, now, schedule.DueAt())
+}
+
 func TestPollAfterASilentWatchIsDueSooner(t *testing.T) {
 	disconnected := newTestSchedule(350)
 	silent := newTestSchedule(350)
--- a/internal/daemon/config_parse.go
+++ b/internal/daemon/config_parse.go
@@ -71,7 +71,8 @@
 }
 
 // setProcessOptions sets the balancer options that package settings does not read, because they apply to a dispatcher
-// process only: it polls the discovery service, and its proxy reports when a worker has received an attempt.
+// process only: it polls the discovery service, also where that pushes lists, and its proxy reports when a worker has
+// received an attempt.
 func (r *configReader) setProcessOptions(c *Config) {
 	interval := r.duration(pollIntervalKey)
 	c.Balancer.Discovery.Poll = true
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -74,7 +74,9 @@
 	config.Zone = balancer.ZoneID(root.GetInt(keyZone))
 	config.Kinds = max(len(root.GetArray(keyKinds)), 1)
 	config.Granularity = DurationFromSeconds(root.GetFloat64(keyGranularity))
-	config.Discovery.Poll = string(root.GetStringBytes(keyDiscoveryMode)) == wordPolledDiscovery
+	discoveryMode := string(root.GetStringBytes(keyDiscoveryMode))
+	config.Discovery.Poll = discoveryMode == wordPolledDiscovery
+	config.Discovery.Pushed = discoveryMode == wordPushedDiscovery
 }
 
 // parseObjective parses the weight of the worst operation, the weight of requests beyond a tenant's quota, and the
@@ -105,6 +107,7 @@
 // parseRules parses the rules that workers and the discovery service impose on dispatchers.
 func parseRules(config *balancer.Config, rules *fastjson.Value) {
 	config.Discovery.MaxPollInterval = DurationFromSeconds(rules.GetFloat64(keyMaxPollInterval))
+	config.Discovery.DrainGrace = DurationFromSeconds(rules.GetFloat64(keyDrainGrace))
 	config.Warmup.Duration = DurationFromSeconds(rules.GetFloat64(keyWarmupDuration))
 	config.Warmup.Window = DurationFromSeconds(rules.GetFloat64(keyWarmupWindow))
 	config.Warmup.InitialShare = rules.GetFloat64(keyInitialWarmup)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -19,7 +19,7 @@
 "prices": {"peer": 0.5, "crossZone": 0.25}, "surplusBilledValue": 0.125, "billedValueBasis": "invocation",
 "registryMode": "subscribe",
 "goal": {"whole": 1.5, "worstWindow": 0.5, "worstClass": 3},
-"rules": {"askWithinS": 6, "rampTimeS": 30, "fallS": 2, "coldFrom": 0.4, "overloadFactor": 1.5},
+"rules": {"askWithinS": 6, "rampTimeS": 30, "fallS": 2, "coldFrom": 0.4, "overloadFactor": 1.5, "drainGraceS": 0.75},
 "policyLimits": {"maxRetryAfterS": 2.5, "maxForwards": 3, "mayCancel": true, "secondCopies": true, "probes": true,
 "peers": true, "retryAfter": true},
 "familyInfo": {"tellsStart": true, "reportX0": "free slots", "classStretch": [0.75], "classKind": [1, 0]},
@@ -80,6 +80,7 @@
 		Discovery: balancer.DiscoveryConfig{
 			MaxPollInterval: 60_000,
 			Poll:            true,
+			DrainGrace:      7_500,
 		},
 		Rejections: balancer.RejectionConfig{
 			MaxRetryAfter: 25_000,
@@ -155,6 +156,22 @@
 	}
 }
 
+// The discovery mode must have an effect: where lists are pushed, a change is in use sooner.
+func TestDiscoveryModesOfSettings(t *testing.T) {
+	for _, tt := range []struct {
+		word           string
+		polled, pushed bool
+	}{{"subscribe", true, false}, {"automatic", false, true}, {"", false, false}} {
+		t.Run(tt.word, func(t *testing.T) {
+			got, err := Parse(fastjson.MustParse(
+				fmt.Sprintf(`{"balancers":1,"registryMode":%q,"operations":[{"repeat":"idempotent"}]}`, tt.word)))
+			assert.NoError(t, err)
+			assert.Equal(t, tt.polled, got.Discovery.Poll)
+			assert.Equal(t, tt.pushed, got.Discovery.Pushed)
+		})
+	}
+}
+
 // TestOmittedSettingsHaveDefaults checks the configuration for keys that the settings omit.
 func TestOmittedSettingsHaveDefaults(t *testing.T) {
 	got, err := Parse(fastjson.MustParse(
--- a/internal/settings/wire_names.go
+++ b/internal/settings/wire_names.go
@@ -15,6 +15,7 @@
 	wordValueByWork     = "work"               // value counted by unit of work, rather than by request
 	keyDiscoveryMode    = "registryMode"       // discovery mode
 	wordPolledDiscovery = "subscribe"          // discovery by polling, rather than by push
+	wordPushedDiscovery = "automatic"          // discovery by push
 	keyTenants          = "orgs"               // tenants
 	keyName             = "name"               // name of an operation or tenant
 	keyQuota            = "quotaPerS"          // quota of a tenant over all dispatchers; requests per second, 0 for none
