Keep only the header fields that are read, so that a head takes little memory

Operators report processes killed at their memory limit by hundreds of clients, among them such that send heads of very many short fields.

Cause: each field was kept, 32 bytes for a field of four, as long as the body was read, and no limit counted that.

Each line is now checked as before, and only the 14 fields that the dispatcher reads are kept, 64 at the most.

TestHeadIsParsedOnlyWhenComplete looked up a field that is not kept any more, and now looks up one that is.

--- a/internal/protocol/head.go
+++ b/internal/protocol/head.go
@@ -7,11 +7,11 @@
 
 // Head is the head of an HTTP/1.x message: its start line and its header fields.
 type Head struct {
-	Method       string // for requests only
-	Target       string // for requests only
-	Status       int    // for responses only
-	minorVersion byte   // minor version of HTTP/1.x: 0 or 1
-	fields       []field
+	Method       string  // for requests only
+	Target       string  // for requests only
+	Status       int     // for responses only
+	minorVersion byte    // minor version of HTTP/1.x: 0 or 1
+	fields       []field // those of usedFields
 }
 
 // field is a header field.
@@ -20,8 +20,8 @@
 	value string
 }
 
-// Field returns the value of the first field with a name, or "" if the head has no such field. The name must be in
-// lower case.
+// Field returns the value of the first field with a name, or "" if the head has no such field. The name must be one of
+// usedFields.
 func (h *Head) Field(name string) string {
 	for _, f := range h.fields {
 		if f.name == name {
--- a/internal/protocol/head_parser.go
+++ b/internal/protocol/head_parser.go
@@ -122,20 +122,35 @@
 	return 0, fmt.Errorf("%w: version %.20q", ErrMalformed, version)
 }
 
-// parseFields parses header field lines. It returns ErrMalformed with the first invalid line.
+// maxUsedFields limits the fields of a head that are kept. There are 14 names, and only Connection and Transfer-Encoding
+// may be repeated.
+const maxUsedFields = 64
+
+// typicalUsedFields is the capacity that is allocated at first for the fields of a head.
+const typicalUsedFields = 8
+
+// parseFields checks header field lines, and returns the fields that are used. The memory for the result does not depend
+// on the number of lines. It returns ErrMalformed with the first invalid line, or ErrHeadTooLarge if more than
+// maxUsedFields would have to be kept.
 func parseFields(text string) (fields []field, err error) {
-	fields = make([]field, 0, strings.Count(text, "\n")+1)
+	fields = make([]field, 0, min(strings.Count(text, "\n")+1, typicalUsedFields))
 	for line := range strings.SplitSeq(text, "\n") {
 		line = strings.TrimSuffix(line, "\r")
 		if line == "" {
 			continue
 		}
 		name, value, hasColon := strings.Cut(line, ":")
-		value = strings.Trim(value, " \t")
-		if !hasColon || !isToken(name) || strings.ContainsFunc(value, isForbiddenInValue) {
+		if !hasColon || !isToken(name) || !isFieldValue(value) {
 			return nil, fmt.Errorf("%w: field %.80q", ErrMalformed, line)
 		}
-		fields = append(fields, field{lowerCase(name), value})
+		name = usedField(name)
+		if name == "" {
+			continue
+		}
+		if len(fields) == maxUsedFields {
+			return nil, ErrHeadTooLarge
+		}
+		fields = append(fields, field{name, strings.Trim(value, " \t")})
 	}
 	return fields, nil
 }
@@ -143,18 +158,33 @@
 // asciiDelete is the code of the ASCII control character DEL, the last ASCII character.
 const asciiDelete = 0x7f
 
-// isForbiddenInValue reports whether r is a control character that is not allowed in a field value (RFC 9110, 5.5).
-func isForbiddenInValue(r rune) bool { return r < ' ' && r != '\t' || r == asciiDelete }
+// isFieldValue reports whether s has no control character that is not allowed in a field value (RFC 9110, 5.5).
+func isFieldValue(s string) bool {
+	for _, c := range []byte(s) {
+		if c < ' ' && c != '\t' || c == asciiDelete {
+			return false
+		}
+	}
+	return true
+}
 
 // isPrintable reports whether s is not empty and consists of printable ASCII characters without spaces.
 func isPrintable(s string) bool {
 	return s != "" && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r >= asciiDelete })
 }
 
+// tokenBytes tells for each byte whether it may be part of a token.
+var tokenBytes = func() (allowed [256]bool) {
+	for c := byte('!'); c < asciiDelete; c++ {
+		allowed[c] = !strings.ContainsRune(`"(),/:;<=>?@[\]{}`, rune(c))
+	}
+	return allowed
+}()
+
 // isToken reports whether s is a token, the syntax of methods and field names (RFC 9110, 5.6.2).
 func isToken(s string) bool {
 	for _, c := range []byte(s) {
-		if c <= ' ' || c >= asciiDelete || strings.IndexByte(`"(),/:;<=>?@[\]{}`, c) >= 0 {
+		if !tokenBytes[c] {
 			return false
 		}
 	}
--- a/internal/protocol/head_test.go
+++ b/internal/protocol/head_test.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"runtime"
 	"strings"
 	"testing"
 
@@ -8,7 +9,7 @@
 )
 
 func TestHeadIsParsedOnlyWhenComplete(t *testing.T) {
-	const text = "\r\nPOST /api?x=1 HTTP/1.1\r\nReq-Id: a\r\nX:  b \r\n\r\nrest"
+	const text = "\r\nPOST /api?x=1 HTTP/1.1\r\nReq-Id: a\r\nX: y\r\nExpect:  b \r\n\r\nrest"
 	for n := range strings.Index(text, "rest") {
 		head, err := ParseRequestHead([]byte(text[:n]))
 		assert.NoError(t, err)
@@ -18,7 +19,7 @@
 	assert.NoError(t, err)
 	assert.Equal(t, "rest", text[head.Length:])
 	assert.Equal(t, []string{"POST", "/api?x=1", "/api", "a", "b"},
-		[]string{head.Method, head.Target, head.Path(), head.Field("req-id"), head.Field("x")})
+		[]string{head.Method, head.Target, head.Path(), head.Field("req-id"), head.Field("expect")})
 }
 
 func TestResponseHeadMayHaveBareLineFeeds(t *testing.T) {
@@ -61,6 +62,34 @@
 	}
 }
 
+// A head must not take much more memory than its text, whatever its fields are. Otherwise clients that send heads of very
+// many short fields and then stop make the process exceed its memory limit.
+func TestHeadOfManyFieldsTakesLittleMemory(t *testing.T) {
+	const heads = 100
+	fieldsLike := func(line string) string {
+		const start = "POST /api HTTP/1.1\r\n"
+		return start + strings.Repeat(line, (MaxHeadBytes-len(start)-len("\r\n"))/len(line)) + "\r\n"
+	}
+	for name, text := range map[string]string{
+		"unknown":  fieldsLike("a:\r\n"),
+		"repeated": fieldsLike("Expect:\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			var before, after runtime.MemStats
+			kept := make([]ParsedHead, heads)
+			runtime.ReadMemStats(&before)
+			for n := range kept {
+				kept[n], _ = ParseRequestHead([]byte(text))
+			}
+			runtime.ReadMemStats(&after)
+			const copiesOfTheText = 2 // one by the test
+			allocated := (after.TotalAlloc - before.TotalAlloc) / heads
+			assert.LessOrEqual(t, allocated, uint64((copiesOfTheText+1)*MaxHeadBytes))
+			runtime.KeepAlive(kept)
+		})
+	}
+}
+
 func TestHeadAboveTheLimitIsTooLarge(t *testing.T) {
 	_, err := ParseRequestHead([]byte(strings.Repeat("a", MaxHeadBytes)))
 	assert.ErrorIs(t, err, ErrHeadTooLarge)
--- a/internal/protocol/http_fields.go
+++ b/internal/protocol/http_fields.go
@@ -20,23 +20,25 @@
 	canonicalExtra    = "Req-Extra"
 )
 
-// lowerCaseNames maps common spellings of field names to lower case, which avoids an allocation for each field.
-var lowerCaseNames = func() map[string]string {
-	names := map[string]string{}
+// usedFields are the header fields that this package reads, by the length of their names. A Head has no others.
+var usedFields = func() map[int][]string {
+	byLength := map[int][]string{}
 	for _, name := range []string{
-		"Host", canonicalID, "Req-Kind", "Req-Owner", "Req-Key", canonicalTimeout, canonicalSizeHint,
-		"Req-Retry", canonicalExtra, "Idempotency-Key", "Content-Length", "Content-Type", "Transfer-Encoding",
-		"Connection", "Srv-Declined", "Date", "Accept", "User-Agent",
+		fieldConnection, fieldContentLength, fieldContentType, fieldExpect, fieldIdempotencyKey, fieldTransferEncoding,
+		fieldID, fieldOperation, fieldTenant, fieldTimeout, fieldSizeHint, fieldExtra, fieldRetry, fieldDeclined,
 	} {
-		names[name] = strings.ToLower(name)
+		byLength[len(name)] = append(byLength[len(name)], name)
 	}
-	return names
+	return byLength
 }()
 
-// lowerCase returns a field name in lower case. HTTP field names are case-insensitive.
-func lowerCase(name string) string {
-	if lower, known := lowerCaseNames[name]; known {
-		return lower
+// usedField returns a field name in lower case, or "" if fields of that name are not used. HTTP field names are
+// case-insensitive.
+func usedField(name string) string {
+	for _, used := range usedFields[len(name)] {
+		if strings.EqualFold(name, used) {
+			return used
+		}
 	}
-	return strings.ToLower(name)
+	return ""
 }
--- a/internal/testbed/command/dispatcher_process_test.go
+++ b/internal/testbed/command/dispatcher_process_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -32,6 +33,8 @@
 	worker       string // address of the worker
 	configPath   string // path of the configuration file
 	otherWorkers string // further entries of the endpoint list, as JSON
+	memoryMB     int    // memory limit in the configuration
+	program      string // path of the program; by default the test program, which also is a dispatcher
 	cmd          *exec.Cmd
 }
 
@@ -60,6 +63,8 @@
 		discovery:  peertest.ReserveAddress(t),
 		worker:     ln.Addr().String(),
 		configPath: filepath.Join(t.TempDir(), "c.json"),
+		memoryMB:   192,
+		program:    os.Args[0],
 	}
 	d.writeConfig(t, sockets, "")
 	return d
@@ -69,15 +74,15 @@
 func (d *testDispatcher) writeConfig(t *testing.T, sockets int, additional string) {
 	t.Helper()
 	assert.NoError(t, os.WriteFile(d.configPath, fmt.Appendf(nil, `{"name":"n","listen":%q,"discovery":%q,"seed":"1",%s
-"limits":{"sockets":%d},"settings":{"balancers":1,"policyLimits":{"maxForwards":2},
+"limits":{"sockets":%d,"memory_mb":%d},"settings":{"balancers":1,"policyLimits":{"maxForwards":2},
 "operations":[{"name":"a","repeat":"idempotent","latencyObjectiveS":1,"clientTimeoutS":3,"billedValue":1}]}}`,
-		d.listen, d.discovery, additional, sockets), 0o600))
+		d.listen, d.discovery, additional, sockets, d.memoryMB), 0o600))
 }
 
 // start starts the process with a limit on file descriptors and additional environment variables.
 func (d *testDispatcher) start(t *testing.T, sockets int, variables ...string) (startedAt time.Time) {
 	t.Helper()
-	cmd := exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s", sockets, os.Args[0]))
+	cmd := exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s", sockets, d.program))
 	cmd.Env = append(os.Environ(), "LB_CONFIG="+d.configPath, "TMPDIR="+filepath.Dir(d.configPath))
 	cmd.Env = append(cmd.Env, variables...)
 	assert.NoError(t, cmd.Start())
@@ -173,6 +178,28 @@
 	return refused
 }
 
+// buildProgram builds the program of the dispatcher, which takes less memory than the test program, and returns its path.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "canvasroute")
+	output, err := exec.Command("go", "build", "-o", path, "canvasroute/cmd/canvasroute").CombinedOutput()
+	assert.NoError(t, err, string(output))
+	return path
+}
+
+// peakMemory returns the largest resident set size of the process so far, in bytes.
+func (d *testDispatcher) peakMemory(t *testing.T) int64 {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.cmd.Process.Pid))
+	assert.NoError(t, err)
+	_, peak, found := strings.Cut(string(status), "VmHWM:")
+	assert.True(t, found)
+	var kibibytes int64
+	_, err = fmt.Sscanf(peak, "%d kB", &kibibytes)
+	assert.NoError(t, err)
+	return kibibytes << 10
+}
+
 // countDescriptors returns the number of open file descriptors of the process, or 0 if the process has exited.
 func (d *testDispatcher) countDescriptors(t *testing.T) int {
 	t.Helper()
