Pause before a request that was sent before the last response

Operators report that other clients got their answers late or never while one client sent small or unsound requests on one connection at full speed. Measured with a real process of one core: beside floods of unknown kinds, requests without an ID or without time left 2 to 5% of the requests of 20 other clients were refused (503) and their median rose from 6.5 to 41 to 49 ms; beside large bodies of unknown kinds 676 of 1,489 were refused. None went without an answer, and memory did not grow.

Cause: a connection's goroutine never waits while complete requests that need no worker lie in its buffer. It keeps the processor for its time slice of 10 ms, which each step of another request waits for, and load shedding refuses requests of all.

A connection now pauses for 1 ms before a request that had come before the last response was sent. Clients that wait for their responses are not affected.

--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -36,6 +36,16 @@
 			c.CloseFor(reason, err)
 			return
 		}
+		c.pauseIfPipelined()
+	}
+}
+
+// pauseIfPipelined waits for pipelinePause if the client has sent more data without waiting for the last response. While
+// requests that need no worker follow one another, the connection's goroutine would never wait, and the goroutines of
+// other clients would wait for the end of its time slice at each of their steps.
+func (c *Conn) pauseIfPipelined() {
+	if c.readBuf.Len() > 0 {
+		time.Sleep(pipelinePause)
 	}
 }
 
--- a/internal/transport/exchange_test.go
+++ b/internal/transport/exchange_test.go
@@ -1,8 +1,10 @@
 package transport
 
 import (
+	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -94,3 +96,36 @@
 	assert.NoError(t, client.(*net.TCPConn).CloseWrite())
 	assert.ErrorIs(t, <-handler.canceled, errClientClosed)
 }
+
+// A client that sends requests without waiting for responses must leave processor time to others, so its requests are
+// served at a limited rate.
+func TestPipelinedRequestsAreServedAtALimitedRate(t *testing.T) {
+	const period = 200 * time.Millisecond
+	server, _, _ := startServer(t, 4)
+	client, _ := connect(t, server)
+	go func() {
+		flood := strings.Repeat(echoRequest, 64)
+		for {
+			if _, err := io.WriteString(client, flood); err != nil {
+				return
+			}
+		}
+	}()
+	responses := 0
+	startedAt := time.Now()
+	client.SetReadDeadline(startedAt.Add(period))
+	reader := bufio.NewReader(client)
+	for {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			break
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		responses++
+	}
+	client.Close()
+	served := time.Since(startedAt) / pipelinePause
+	const unpaused = 1.25 // a request at the end of the read buffer is not paused
+	assert.Positive(t, responses)
+	assert.LessOrEqual(t, float64(responses), unpaused*float64(served))
+}
--- a/internal/transport/timeouts.go
+++ b/internal/transport/timeouts.go
@@ -13,6 +13,10 @@
 	finalRequestTimeout  = 500 * time.Millisecond // for the rest of a request once idle connections are closed
 )
 
+// pipelinePause is the pause before a request that was sent before the response to the previous one. It limits a client
+// that does not wait for responses to a thousand requests a second on one connection.
+const pipelinePause = time.Millisecond
+
 // Read timeouts of a connection that is about to be closed, for a request that may be in transit.
 const (
 	transitGrace       = 50 * time.Millisecond
