Look for a closed connection before each request that may have waited unread

Operators report that a client closed its connection with much still unread, and its requests were sent on afterwards. Shown at the level of connections: a request behind one that is answered without a worker was served though its client had closed, and so was a first request with 8 MiB of data behind it.

Cause: the look for a close that happened while nobody watched was taken for the first request of a connection only, and took a connection for open while the close was hidden behind more data than the receive window holds.

--- a/internal/transport/close_watch.go
+++ b/internal/transport/close_watch.go
@@ -99,17 +99,24 @@
 }
 
 // closedWhileUnwatched reports whether a client closed its connection while no process watched it: while the connection
-// waited in the listener's queue, or was handed over by a predecessor. The request of such a client must not be sent to
-// a worker.
+// waited in the listener's queue or was handed over by a predecessor, or while the request was unread behind others. The
+// request of such a client must not be sent to a worker. The result is false if that can't be determined.
 //
-// A client whose request was received less than queuedThreshold ago isn't probed: it can't have closed the connection
-// long ago, and WatchForClose detects a recent close in time.
+// A client that has half-closed its connection and whose request was received less than queuedThreshold ago isn't probed:
+// it can't have closed the connection long ago, and WatchForClose detects a recent close in time.
 func (c *Conn) closedWhileUnwatched() bool {
 	socket, ok := c.nc.(syscall.Conn)
-	if !ok || timeSinceLastData(socket) < queuedThreshold {
+	if !ok {
 		return false
 	}
-	if state, _ := tcpState(socket); state == tcpEstablished {
+	info, err := inspectSocket(socket)
+	switch {
+	case err != nil:
+		return false
+	case info.state == tcpClosed: // by a reset
+		return true
+	case info.unread > maxUnreadBytes: // a close may be hidden behind them
+	case info.state == tcpEstablished, info.sinceLastData < queuedThreshold:
 		return false
 	}
 	stopped := make(chan struct{})
--- a/internal/transport/close_watch_test.go
+++ b/internal/transport/close_watch_test.go
@@ -167,6 +167,45 @@
 	assert.NoError(t, peertest.Receive(t, ended))
 }
 
+// A client may close its connection while its later requests are unread, behind one that is answered without a worker.
+// It may also have sent so much that the kernel has not received the close yet. None of its requests may be served.
+func TestRequestsOfAClientThatClosedWhileTheyWereUnreadAreNotServed(t *testing.T) {
+	const rejectedRequest = "POST /none HTTP/1.1\r\nContent-Length: 0\r\n\r\n"
+	const moreThanTheKernelBuffers = 8 << 20 // bytes
+	for name, text := range map[string]string{
+		"behind another request": rejectedRequest + gatedRequest,
+		"behind many others":     strings.Repeat(rejectedRequest, 1000) + gatedRequest,
+		"much data behind it":    gatedRequest + strings.Repeat("x", moreThanTheKernelBuffers),
+		"much data behind a later one": rejectedRequest + gatedRequest +
+			strings.Repeat("x", moreThanTheKernelBuffers),
+	} {
+		t.Run(name, func(t *testing.T) { assertNothingServedAfterClose(t, text) })
+	}
+}
+
+// assertNothingServedAfterClose lets clients send a text and close their connections, before a server accepts them.
+func assertNothingServedAfterClose(t *testing.T, text string) {
+	t.Helper()
+	const clients = 20
+	handler := newGatedHandler()
+	server := newTestServer(listenLoopback(t), clients, handler)
+	for range clients {
+		closed, _ := connect(t, server)
+		closed.SetWriteDeadline(time.Now().Add(queuedThreshold / 10))
+		_, _ = io.WriteString(closed, text) // an error if the buffers are full
+		assert.NoError(t, closed.Close())
+	}
+	time.Sleep(2 * queuedThreshold)
+	stop, ended := runServer(server)
+	assert.Never(t, func() bool { return len(handler.requested) > 0 }, 5*resetTimeout, time.Millisecond)
+	for range len(handler.requested) {
+		handler.release <- &protocol.Response{Status: 200}
+	}
+	assert.Eventually(t, func() bool { return server.OpenConnections() == 0 }, testTimeout, time.Millisecond)
+	stop()
+	assert.NoError(t, peertest.Receive(t, ended))
+}
+
 func TestDeadlineThatPassesAsARequestCompletesDoesNotEndTheCloseWatch(t *testing.T) {
 	conn, peer, _ := connPair(t)
 	limiter := newClientLimiter(4, &lifecycle.State{})
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -43,6 +43,8 @@
 	messagesSent   int   // number of messages sent since the connection was opened
 	readAtLastSend int64 // value of stream.bytesRead when the last message was sent
 
+	lastReadFilledBuffer bool // the last read filled the read buffer, so that more data may be unread
+
 	closeOnce        sync.Once
 	onClose          func()      // called after the close, may be nil
 	peerProcessEnded atomic.Bool // the peer's process is known to have ended, so the connection is stale
@@ -53,6 +55,7 @@
 	// Fields of client connections.
 	acceptsInterim bool   // the client understands interim (1xx) responses
 	stopCloseWatch func() // stops the watch started by WatchForClose
+	pipelined      bool   // the client may have sent the current request before the previous response
 
 	// Fields of worker connections.
 	idleSince       time.Time   // time at which the connection became idle in a Pool
--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -31,20 +31,21 @@
 // closed after the first request.
 func (s *Server) serveRequests(c *Conn, admission admissionResult) {
 	for {
+		c.pauseIfPipelined()
 		reason, err := s.exchange(c, admission)
 		if reason != keepOpen {
 			c.CloseFor(reason, err)
 			return
 		}
-		c.pauseIfPipelined()
 	}
 }
 
-// pauseIfPipelined waits for pipelinePause if the client has sent more data without waiting for the last response. While
-// requests that need no worker follow one another, the connection's goroutine would never wait, and the goroutines of
-// other clients would wait for the end of its time slice at each of their steps.
+// pauseIfPipelined waits for pipelinePause if the client may have sent the next request without waiting for the last
+// response. While requests that need no worker follow one another, the connection's goroutine would never wait, and the
+// goroutines of other clients would wait for the end of its time slice at each of their steps.
 func (c *Conn) pauseIfPipelined() {
-	if c.readBuf.Len() > 0 {
+	c.pipelined = c.readBuf.Len() > 0 || c.lastReadFilledBuffer
+	if c.pipelined {
 		time.Sleep(pipelinePause)
 	}
 }
@@ -92,7 +93,8 @@
 	if admission == overLimit {
 		return s.respond(c, s.handler.RejectOverBudget(&request.head), protocol.CloseAfterResponse)
 	}
-	if !c.Reused() && c.closedWhileUnwatched() { // only a first request can have waited in the listener's queue
+	mayHaveWaitedUnread := !c.Reused() || c.pipelined // a first request may have waited in the listener's queue
+	if mayHaveWaitedUnread && c.closedWhileUnwatched() {
 		return ClientClosed, errClientClosed
 	}
 	persistence := persistenceFor(request.head.CloseRequested())
--- a/internal/transport/read.go
+++ b/internal/transport/read.go
@@ -14,6 +14,7 @@
 // buffered.
 func (c *Conn) fill() error {
 	_, err := c.readBuf.Fill(&c.stream)
+	c.lastReadFilledBuffer = c.readBuf.Full()
 	if errors.Is(err, io.EOF) && c.readBuf.Len() > 0 {
 		return ErrTruncated
 	}
--- a/internal/transport/socket_state.go
+++ b/internal/transport/socket_state.go
@@ -24,32 +24,37 @@
 	return raw.Control(func(fd uintptr) { use(int(fd)) })
 }
 
-// tcpState returns the state of a TCP socket and the number of received bytes that have not been read. If the state
-// can't be determined, it is tcpClosed. If only the number can't be determined, it is maxUnreadBytes+1.
-func tcpState(socket syscall.Conn) (state uint8, unread int) {
-	state = tcpClosed
-	_ = withDescriptor(socket, func(fd int) {
-		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			state = info.State
-		}
-		var err error
-		unread, err = unix.IoctlGetInt(fd, unix.TIOCINQ)
-		if err != nil {
-			unread = maxUnreadBytes + 1
-		}
-	})
-	return state, unread
+// socketInfo describes a TCP socket.
+type socketInfo struct {
+	state         uint8
+	unread        int           // number of received bytes that have not been read
+	sinceLastData time.Duration // time since data was last received, with millisecond resolution
 }
 
-// timeSinceLastData returns the time since data was last received on a TCP socket, with millisecond resolution. It
-// returns 0 if that can't be determined.
-func timeSinceLastData(socket syscall.Conn) (age time.Duration) {
-	_ = withDescriptor(socket, func(fd int) {
-		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			age = time.Duration(info.Last_data_recv) * time.Millisecond
+// inspectSocket returns the present state of a TCP socket, or the error of the system call that failed. If only the number
+// of unread bytes can't be determined, the other fields are set.
+func inspectSocket(socket syscall.Conn) (s socketInfo, err error) {
+	s.state = tcpClosed
+	controlErr := withDescriptor(socket, func(fd int) {
+		var info *unix.TCPInfo
+		if info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err != nil {
+			return
 		}
+		s.state = info.State
+		s.sinceLastData = time.Duration(info.Last_data_recv) * time.Millisecond
+		s.unread, err = unix.IoctlGetInt(fd, unix.TIOCINQ)
 	})
-	return age
+	return s, errors.Join(controlErr, err)
+}
+
+// tcpState returns the state of a TCP socket and the number of received bytes that have not been read. If the state
+// can't be determined, it is tcpClosed. If the number can't be determined, it is maxUnreadBytes+1.
+func tcpState(socket syscall.Conn) (state uint8, unread int) {
+	info, err := inspectSocket(socket)
+	if err != nil {
+		info.unread = maxUnreadBytes + 1
+	}
+	return info.state, info.unread
 }
 
 // peekSocket returns the results of a read of one byte without blocking or consuming data. At the end of the stream it
