Keep the ID of a request in use that may have run and must not run again

Operators report that an ID ran twice when it came again after its client had left, or at the other process of an upgrade. Shown in tests: the ID of a non-idempotent request whose client closed its connection while a worker had it was sent to a worker again, by the same process and by the successor of a hot restart; so was one that had been answered.

Cause: an ID was in use until Serve returned, which it does at once when the client leaves, while the attempt runs on. IDs in use at the sibling were forgotten when it exited.

Two tests changed: TestRequestIDIsOpenInOneProcessOnly expected an ID of an exited sibling to be free, which is the fault; TestClosedReusedConnectionIsNotWorkerFailure sent one ID three times, and its non-idempotent request now has its own.

--- a/internal/daemon/hot_restart_test.go
+++ b/internal/daemon/hot_restart_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 
+	"canvasroute/internal/balancer"
 	"canvasroute/internal/hotrestart"
 	"canvasroute/internal/peertest"
 )
@@ -287,6 +288,32 @@
 	successor.stop(t)
 }
 
+// The client of a request that must not be executed twice may leave, and send its ID again to the other process of a hot
+// restart.
+func TestIDOfAClientThatLeftIsRefusedByTheSuccessor(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	config, url := newTestConfig(t, time.Second)
+	config.Balancer.Operations[0].Idempotency = balancer.NonIdempotent
+	predecessor := startProcess(t, config)
+	leaving := dialClient(t, url)
+	leaving.send("left")
+	predecessor.awaitResponse(t, "DUMP", "svc.forwards=1\n")
+	leaving.Close()
+	predecessor.awaitResponse(t, "DUMP", "svc.outstanding=0\n")
+	successor := startProcess(t, config)
+	predecessor.awaitResponse(t, "HEALTH", "error takes no clients: relieved\n")
+	assertRefused := func(explanation string) {
+		again := dialClient(t, url)
+		again.send("left")
+		assert.Equal(t, 409, again.receive(t).status, explanation)
+	}
+	assertRefused("while both processes serve")
+	predecessor.stop(t)
+	successor.awaitResponse(t, "DUMP", "svc.forwards=0\n")
+	assertRefused("after the predecessor has exited")
+	successor.stop(t)
+}
+
 // On a platform without Unix sockets both processes listen, and the predecessor shuts down as if it had no successor.
 func TestBothProcessesListenWithoutControlSocket(t *testing.T) {
 	t.Setenv("TMPDIR", filepath.Join(t.TempDir(), "none"))
--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -213,15 +213,15 @@
 		}
 		io.WriteString(conn, succeededText())
 	}))
-	status := func(operation string) int {
+	status := func(head *protocol.Head) int {
 		defer func() { assert.NoError(t, p.background.Wait()) }()
-		return serve(p, requestHead(operation)).Status
+		return serve(p, head).Status
 	}
-	assert.Equal(t, 200, status("idem"))
+	assert.Equal(t, 200, status(requestHead("idem")))
 	time.Sleep(transport.SettleTime) // the operation once uses an idle connection only after this time
-	assert.Equal(t, 502, status("once"))
+	assert.Equal(t, 502, status(parseHead("Req-Id: a2\r\nReq-Deadline: 2\r\nReq-Kind: once\r\n")))
 	assert.Equal(t, int64(1), outcomeCount(p, balancer.ConnectionStale))
-	assert.Equal(t, 200, status("idem"), "the worker must receive the next request immediately")
+	assert.Equal(t, 200, status(requestHead("idem")), "the worker must receive the next request immediately")
 }
 
 // A machine that crashes and restarts has lost its attempts without closing their connections.
--- a/internal/proxy/migration_import.go
+++ b/internal/proxy/migration_import.go
@@ -56,7 +56,6 @@
 func (p *Proxy) continueRequest(ctx context.Context, migrated *MigratedRequest, attempts map[int]net.Conn,
 ) *protocol.Response {
 	p.requestIDs.openMigrated(migrated.Request.ID)
-	defer p.requestIDs.close(migrated.Request.ID)
 	handle, contexts := p.balancer.Import(migrated.Balancing)
 	r := &inFlightRequest{
 		request:        migrated.Request,
@@ -65,6 +64,7 @@
 		deadline:       migrated.Balancing.Deadline,
 		closeRequested: migrated.CloseRequested,
 		acceptsInterim: migrated.AcceptsInterim,
+		attemptedOnce:  migrated.Balancing.Idempotency != balancer.Idempotent && len(migrated.Balancing.Attempts) > 0,
 		result:         newResultChannel(),
 	}
 	for number, netConn := range attempts {
@@ -74,5 +74,7 @@
 		a.reused = migrated.Reused[number]
 		p.runInBackground(r, a, func() attemptResult { return a.resume(contexts[number], conn) })
 	}
-	return p.execute(ctx, r)
+	response := p.execute(ctx, r)
+	p.endRequestID(r, response)
+	return response
 }
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -33,7 +33,6 @@
 	case !free:
 		return p.respondDuplicateID()
 	}
-	defer p.requestIDs.close(request.ID)
 	request.Body = body
 	r := &inFlightRequest{
 		request:        request,
@@ -44,7 +43,28 @@
 		acceptsInterim: h.AcceptsInterim(),
 		result:         newResultChannel(),
 	}
-	return p.serveCounted(request.Operation, func() *protocol.Response { return p.rejectOrSubmit(ctx, r, arrival) })
+	response := p.serveCounted(request.Operation, func() *protocol.Response { return p.rejectOrSubmit(ctx, r, arrival) })
+	p.endRequestID(r, response)
+	return response
+}
+
+// endRequestID frees the ID of a request that has ended, or retains it if the request must not be executed again. response
+// is nil if the client has disconnected.
+func (p *Proxy) endRequestID(r *inFlightRequest, response *protocol.Response) {
+	if r.attemptedOnce && mayHaveBeenExecuted(response) {
+		p.requestIDs.retain(r.request.ID)
+		return
+	}
+	p.requestIDs.close(r.request.ID)
+}
+
+// mayHaveBeenExecuted reports whether a request for which an attempt was started may have been executed, or may still be.
+// The sibling process decides this for a migrated request.
+func mayHaveBeenExecuted(response *protocol.Response) bool {
+	if response == nil {
+		return true
+	}
+	return response.Status == http.StatusOK || response.Status == http.StatusBadGateway
 }
 
 // rejectOrSubmit rejects a valid request if this process cannot finish it (canFinish) or Recovery does not admit it,
@@ -106,6 +126,7 @@
 		}
 		switch decision.Action {
 		case balancer.SendAttempt:
+			r.attemptedOnce = decision.Idempotency != balancer.Idempotent
 			p.startAttempt(r, decision)
 		case balancer.RespondResult:
 			return p.respondSucceeded(<-r.result)
--- a/internal/proxy/request_ids.go
+++ b/internal/proxy/request_ids.go
@@ -1,9 +1,13 @@
 package proxy
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
-// requestIDs is the set of IDs of the requests that are open in this process and, during a hot restart, in its sibling.
-// Workers identify a request by its ID alone, so a request with the ID of an open request is refused.
+// requestIDs is the set of IDs that are in use in this process and, during a hot restart, in its sibling: those of the
+// open requests, and of ended requests that must not be executed again (retainedIDs). Workers identify a request by its
+// ID alone, so a request with an ID in use is refused.
 //
 // In a hot restart the successor decides which IDs are free. It gets the IDs that are open in the predecessor before it
 // accepts connections, and from then on the predecessor claims each ID from it before it serves a request.
@@ -11,10 +15,11 @@
 	mu        sync.Mutex // guards the fields below; no locks are acquired while it is held
 	local     map[string]struct{}
 	inSibling map[string]struct{}
-	claim     ClaimID  // claims an ID from the successor, nil if there is none
-	tracking  bool     // opened and closed are recorded for the sibling
-	opened    []string // IDs opened since the last call of changes
-	closed    []string // IDs closed since the last call of changes
+	retained  retainedIDs // part of local
+	claim     ClaimID     // claims an ID from the successor, nil if there is none
+	tracking  bool        // opened and closed are recorded for the sibling
+	opened    []string    // IDs opened since the last call of changes
+	closed    []string    // IDs closed since the last call of changes
 }
 
 // ClaimID claims the ID of a request from the successor. It returns false if a request with the ID is open there, and an
@@ -40,6 +45,7 @@
 func (i *requestIDs) openLocally(id string) (claim ClaimID, free bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.freeExpired(time.Now())
 	_, local := i.local[id]
 	_, inSibling := i.inSibling[id]
 	if local || inSibling {
@@ -72,6 +78,27 @@
 func (i *requestIDs) close(id string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.remove(id)
+}
+
+// retain keeps the ID of a request in use that has ended and must not be executed again.
+func (i *requestIDs) retain(id string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := time.Now()
+	i.retained.add(id, now)
+	i.freeExpired(now)
+}
+
+// freeExpired frees the IDs that are not retained any more. The caller must hold mu.
+func (i *requestIDs) freeExpired(now time.Time) {
+	for _, id := range i.retained.takeExpired(now) {
+		i.remove(id)
+	}
+}
+
+// remove removes an ID. The caller must hold mu.
+func (i *requestIDs) remove(id string) {
 	delete(i.local, id)
 	if i.tracking {
 		i.closed = append(i.closed, id)
@@ -95,6 +122,7 @@
 func (i *requestIDs) changes() (opened, closed []string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.freeExpired(time.Now())
 	opened, closed = i.opened, i.closed
 	i.opened, i.closed = nil, nil
 	return opened, closed
@@ -144,10 +172,19 @@
 	return true
 }
 
-// forgetSibling removes the IDs of a sibling that has exited, and stops recording changes and claiming IDs.
-func (i *requestIDs) forgetSibling() {
+// siblingExited stops recording changes and claiming IDs. The IDs that were in use in the sibling are retained, because
+// their requests may have been executed.
+func (i *requestIDs) siblingExited() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	now := time.Now()
+	for id := range i.inSibling {
+		if _, local := i.local[id]; !local {
+			i.add(id)
+			i.retained.add(id, now)
+		}
+	}
+	i.freeExpired(now)
 	i.claim = nil
 	i.inSibling = nil
 	i.tracking = false
--- a/internal/proxy/request_ids_test.go
+++ b/internal/proxy/request_ids_test.go
@@ -28,8 +28,8 @@
 	ids.close("b")
 	assert.True(t, opens(t, &ids, "b"))
 	ids.applySibling([]string{"d"}, nil)
-	ids.forgetSibling()
-	assert.True(t, opens(t, &ids, "d"))
+	ids.siblingExited()
+	assert.False(t, opens(t, &ids, "d"), "a worker may execute it")
 }
 
 func TestRequestIDChangesStartWithOpenIDs(t *testing.T) {
@@ -63,7 +63,7 @@
 	assert.True(t, opens(t, &predecessor, "b"), "a refused claim leaves nothing behind")
 	predecessor.close("a")
 	assert.True(t, opens(t, &predecessor, "a"), "the successor may not know yet that it was closed")
-	predecessor.forgetSibling()
+	predecessor.siblingExited()
 	opens(t, &successor, "c")
 	assert.True(t, opens(t, &predecessor, "c"), "the successor has exited")
 }
--- a/internal/proxy/responses.go
+++ b/internal/proxy/responses.go
@@ -16,7 +16,7 @@
 //   - 408, 413 and 431: the request could not be read, see protocol.RejectionForError.
 //   - 404: the path is unknown.
 //   - 405: the path does not support the method.
-//   - 409: another request with the same ID is open.
+//   - 409: another request with the same ID is open, or may have been executed and must not be executed again.
 //   - 429: the balancer rejected the request, and the client may retry it: it was not executed, or its operation is
 //     idempotent.
 //   - 502: the request failed, and its outcome is unknown.
--- a/internal/proxy/sibling.go
+++ b/internal/proxy/sibling.go
@@ -57,10 +57,10 @@
 	return sends
 }
 
-// ForgetSibling removes the attempts in flight and the request IDs of a sibling process that has exited.
+// ForgetSibling removes the attempts in flight of a sibling process that has exited, and retains its request IDs.
 func (p *Proxy) ForgetSibling(sibling balancer.SiblingRole) {
 	p.balancer.UpdateSibling(sibling, nil)
-	p.requestIDs.forgetSibling()
+	p.requestIDs.siblingExited()
 }
 
 // StartClaimingIDs makes this process, the predecessor, claim the ID of each request from its successor before it serves
