Close the client's connection if a request that was handed over cannot be parsed

By reading: importRequest closed the sockets of the attempts of such a request, and kept that of its client, who waited until giving up.

TestClientOfARequestThatCannotBeParsedIsDisconnected failed before (time-out instead of the end of the connection).

--- a/internal/daemon/hot_restart_link_test.go
+++ b/internal/daemon/hot_restart_link_test.go
@@ -85,6 +85,31 @@
 	assert.Equal(t, requests, received)
 }
 
+// The client of a request that cannot be parsed must not wait for a response that nobody will send.
+func TestClientOfARequestThatCannotBeParsedIsDisconnected(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	defer ln.Close()
+	client, err := net.Dial("tcp", ln.Addr().String())
+	assert.NoError(t, err)
+	defer client.Close()
+	atPredecessor, err := ln.Accept()
+	assert.NoError(t, err)
+	file, err := atPredecessor.(*net.TCPConn).File()
+	assert.NoError(t, err)
+	assert.NoError(t, atPredecessor.Close())
+	config, _ := newTestConfig(t, time.Millisecond)
+	p := &process{config: &config, log: nopLog}
+	p.applyResourceLimits()
+	p.buildBalancer()
+	p.buildProxy()
+	h := &hotRestart{log: nopLog, proxy: p.proxy}
+	h.importRequest([]byte("{"), map[string]*os.File{hotrestart.ClientSocket: file})
+	client.SetReadDeadline(time.Now().Add(time.Second))
+	_, err = client.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+}
+
 // A LEAVE that a successor has answered before it exited must be received, also if an update to it cannot be sent
 // meanwhile. Otherwise the predecessor resumes serving.
 func TestDrainOfAnExitedSuccessorIsReceived(t *testing.T) {
--- a/internal/daemon/hot_restart_successor.go
+++ b/internal/daemon/hot_restart_successor.go
@@ -150,8 +150,8 @@
 
 // importRequest continues a request that the predecessor has handed over. sockets holds the client's connection, and
 // the connections to workers under the numbers of their attempts. A request that cannot be continued gets status 502,
-// because a worker may have executed an attempt. There is no response if the request cannot be parsed or the client's
-// connection is missing.
+// because a worker may have executed an attempt. If the request cannot be parsed, the client's connection is closed without
+// a response.
 func (h *hotRestart) importRequest(text json.RawMessage, sockets map[string]*os.File) {
 	client, attempts := h.importConnections(sockets)
 	request, err := h.proxy.Import(text, attempts)
@@ -163,7 +163,11 @@
 		for _, conn := range attempts {
 			conn.Close()
 		}
-		if client == nil || request.MigratedRequest == nil {
+		if client == nil {
+			return
+		}
+		if request.MigratedRequest == nil {
+			client.Close()
 			return
 		}
 		request.Finish = badGateway
