Tell an unknown state of a client's socket from a closed one

It now uses what is known: the state without the number of unread bytes, and no client counts as gone where the state is unknown. TestSocketWithoutTCPStateIsNotTakenForClosed guards the latter.

--- a/internal/transport/close_watch.go
+++ b/internal/transport/close_watch.go
@@ -109,9 +109,9 @@
 	if !ok {
 		return false
 	}
-	info, err := inspectSocket(socket)
+	info := inspectSocket(socket)
 	switch {
-	case err != nil:
+	case info.state == unknownState:
 		return false
 	case info.state == tcpClosed: // by a reset
 		return true
--- a/internal/transport/close_watch_test.go
+++ b/internal/transport/close_watch_test.go
@@ -4,10 +4,12 @@
 	"errors"
 	"io"
 	"net"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 
 	"canvasroute/internal/lifecycle"
@@ -206,6 +208,21 @@
 	assert.NoError(t, peertest.Receive(t, ended))
 }
 
+// Where the system can't tell the state of a socket, no client may be taken for one that has left.
+func TestSocketWithoutTCPStateIsNotTakenForClosed(t *testing.T) {
+	ln, err := net.Listen("unix", filepath.Join(t.TempDir(), "socket"))
+	assert.NoError(t, err)
+	defer ln.Close()
+	client, err := net.Dial("unix", ln.Addr().String())
+	assert.NoError(t, err)
+	defer client.Close()
+	accepted, err := ln.Accept()
+	assert.NoError(t, err)
+	conn := newConn(accepted, Client, "c", zerolog.Nop(), nil)
+	defer conn.CloseFor(Stopping, nil)
+	assert.False(t, conn.closedWhileUnwatched())
+}
+
 func TestDeadlineThatPassesAsARequestCompletesDoesNotEndTheCloseWatch(t *testing.T) {
 	conn, peer, _ := connPair(t)
 	limiter := newClientLimiter(4, &lifecycle.State{})
--- a/internal/transport/socket_state.go
+++ b/internal/transport/socket_state.go
@@ -24,34 +24,41 @@
 	return raw.Control(func(fd uintptr) { use(int(fd)) })
 }
 
-// socketInfo describes a TCP socket.
+// socketInfo describes a TCP socket. A field that can't be determined has the value that its comment names.
 type socketInfo struct {
-	state         uint8
-	unread        int           // number of received bytes that have not been read
-	sinceLastData time.Duration // time since data was last received, with millisecond resolution
+	state         uint8         // unknownState
+	sinceLastData time.Duration // time since data was last received, with millisecond resolution; 0
+	unread        int           // number of received bytes that have not been read; unknownUnread
 }
 
-// inspectSocket returns the present state of a TCP socket, or the error of the system call that failed. If only the number
-// of unread bytes can't be determined, the other fields are set.
-func inspectSocket(socket syscall.Conn) (s socketInfo, err error) {
-	s.state = tcpClosed
-	controlErr := withDescriptor(socket, func(fd int) {
-		var info *unix.TCPInfo
-		if info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err != nil {
-			return
+const (
+	unknownState  = 0 // not a state of TCP_INFO
+	unknownUnread = -1
+)
+
+// inspectSocket returns the present state of a TCP socket.
+func inspectSocket(socket syscall.Conn) socketInfo {
+	s := socketInfo{unread: unknownUnread}
+	_ = withDescriptor(socket, func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			s.state = info.State
+			s.sinceLastData = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+		if unread, err := unix.IoctlGetInt(fd, unix.TIOCINQ); err == nil {
+			s.unread = unread
 		}
-		s.state = info.State
-		s.sinceLastData = time.Duration(info.Last_data_recv) * time.Millisecond
-		s.unread, err = unix.IoctlGetInt(fd, unix.TIOCINQ)
 	})
-	return s, errors.Join(controlErr, err)
+	return s
 }
 
 // tcpState returns the state of a TCP socket and the number of received bytes that have not been read. If the state
 // can't be determined, it is tcpClosed. If the number can't be determined, it is maxUnreadBytes+1.
 func tcpState(socket syscall.Conn) (state uint8, unread int) {
-	info, err := inspectSocket(socket)
-	if err != nil {
+	info := inspectSocket(socket)
+	if info.state == unknownState {
+		info.state = tcpClosed
+	}
+	if info.unread == unknownUnread {
 		info.unread = maxUnreadBytes + 1
 	}
 	return info.state, info.unread
