Test that requests stay if the successor exits during the hand-over

Part of the look at the whole protocol of the hand-over: with a successor that closes the link while 40 requests are handed over to it, those that it has not received are answered by the predecessor in time.

--- a/internal/daemon/hot_restart_export_test.go
+++ b/internal/daemon/hot_restart_export_test.go
@@ -78,15 +78,11 @@
 	assert.Less(t, successor.requests.Load(), int32(clientCount/2))
 }
 
-// The deadline of a request must be kept while the request waits for its turn on the link.
-func TestRequestIsAnsweredInTimeIfTheSuccessorIsBusy(t *testing.T) {
-	const (
-		clientCount = 40
-		timeout     = 300 * time.Millisecond
-		margin      = 500 * time.Millisecond // a later answer counts as lost
-	)
-	_, clients, predecessor := handOverToBusySuccessor(t, clientCount, timeout)
-	latest := time.Now().Add(timeout + margin)
+// lateAnswerMargin is the time after its deadline in which a request must be answered; later answers count as lost.
+const lateAnswerMargin = 500 * time.Millisecond
+
+// countAnswered returns the number of clients that receive a response before the given time.
+func countAnswered(clients []*client, latest time.Time) int {
 	var answered atomic.Int32
 	var readers sync.WaitGroup
 	for _, c := range clients {
@@ -98,6 +94,28 @@
 		})
 	}
 	readers.Wait()
-	assert.Greater(t, answered.Load(), int32(clientCount/2), "all but those in the buffer of the link")
+	return int(answered.Load())
+}
+
+// The deadline of a request must be kept while the request waits for its turn on the link.
+func TestRequestIsAnsweredInTimeIfTheSuccessorIsBusy(t *testing.T) {
+	const clientCount = 40
+	const timeout = 300 * time.Millisecond
+	_, clients, predecessor := handOverToBusySuccessor(t, clientCount, timeout)
+	answered := countAnswered(clients, time.Now().Add(timeout+lateAnswerMargin))
+	assert.Greater(t, answered, clientCount/2, "all but those in the buffer of the link")
+	awaitExit(t, predecessor.ended, 6*time.Second)
+}
+
+// If the successor exits while requests are handed over to it, the requests that it has not received must be answered by
+// the predecessor.
+func TestRequestsAreAnsweredIfTheSuccessorExitsDuringTheHandover(t *testing.T) {
+	const clientCount = 40
+	const timeout = 2 * time.Second
+	successor, clients, predecessor := handOverToBusySuccessor(t, clientCount, timeout)
+	time.Sleep(100 * time.Millisecond) // until the buffer of the link is full
+	successor.link.Close()
+	answered := countAnswered(clients, time.Now().Add(timeout+lateAnswerMargin))
+	assert.Greater(t, answered, clientCount/2, "all but those in the buffer of the link")
 	awaitExit(t, predecessor.ended, 6*time.Second)
 }
