--- a/internal/daemon/config_parse.go
+++ b/internal/daemon/config_parse.go
@@ -76,6 +76,7 @@
 func (r *configReader) setProcessOptions(c *Config) {
 	interval := r.duration(pollIntervalKey)
 	c.Balancer.Discovery.Poll = true
+	c.Proxy.ListsPushed = c.Balancer.Discovery.Pushed
 	c.Balancer.Discovery.MaxPollInterval = settings.DurationFromSeconds(interval.Seconds())
 	c.Balancer.Discovery.ChangeDeadline = endpointChangeDeadline
 	c.Balancer.Attempts.DeliveryNotices = true
--- a/internal/discovery/watch_end.go
+++ b/internal/discovery/watch_end.go
@@ -14,8 +14,8 @@
 // Limits of a poll and of the watch that it opens. Every dispatcher must have applied a change 6 s after the service
 // listed it. The timeouts close a silent watch early enough to poll again within that time.
 const (
-	// maxFirstPollWait is how long a process that has a list from before its start waits for its first poll. After
-	// that, it serves requests with that list.
+	// maxFirstPollWait is how long a process that has a list from before its start waits for its first poll, unless lists
+	// are pushed. After that, it serves requests with that list.
 	maxFirstPollWait = 700 * time.Millisecond
 	// dialTimeoutFactor times the dial timeout of workers, but at most headTimeout, is the timeout for dialing the
 	// service.
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -72,6 +72,27 @@
 	assert.Greater(t, len(tags), workers-32, "few workers share a tag")
 }
 
+// Where lists are pushed, what the service has counts from the first moment of a new process. A list from before the start
+// may then not be used while a slow service answers. Where lists are polled, the process serves meanwhile.
+func TestPushedListIsAwaitedByANewProcess(t *testing.T) {
+	for _, pushed := range []bool{false, true} {
+		t.Run(fmt.Sprint("pushed ", pushed), func(t *testing.T) {
+			answer := make(chan bool)
+			w := newWatcher(peertest.StartServer(t, func(conn net.Conn, _ *http.Request) {
+				<-answer
+				_, _ = io.WriteString(conn, peertest.ResponseStart(emptyList(8)))
+				_, _ = io.Copy(io.Discard, conn)
+			}))
+			w.config.Pushed = pushed
+			runWatcher(t, w)
+			time.Sleep(maxFirstPollWait + 200*time.Millisecond)
+			assert.Equal(t, !pushed, w.FirstPollWaitEnded())
+			close(answer)
+			assert.Eventually(t, w.FirstPollWaitEnded, peertest.EventTimeout, peertest.PollInterval)
+		})
+	}
+}
+
 // An overloaded service must not be polled again as soon as a service that is down.
 func TestSlow503MeansOverloaded(t *testing.T) {
 	for name, test := range map[string]struct {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -32,6 +32,10 @@
 	Address     string               // host and port of the discovery service
 	DialTimeout func() time.Duration // returns the current timeout for dialing a worker
 	Observer    Observer             // optional
+
+	// Pushed means that the service pushes lists, so that what it has counts from the first moment of a new process. A
+	// list from before the start is then not used before the first poll has ended.
+	Pushed bool
 }
 
 // Counters count events since the process started.
@@ -89,7 +93,7 @@
 }
 
 // FirstPollWaitEnded reports whether the wait for the first poll is over: the poll was answered, failed, or took longer
-// than maxFirstPollWait in a process that already has a list.
+// than maxFirstPollWait in a process that already has a list, unless lists are pushed.
 func (w *Watcher) FirstPollWaitEnded() bool { return w.firstPollWaitEnded.Load() }
 
 // ApplyInitialList applies a complete list that was obtained before the first poll. zones are the names of its zones in
@@ -165,9 +169,10 @@
 func (w *Watcher) poll(ctx context.Context) {
 	watchCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	firstPollTimer := time.AfterFunc(maxFirstPollWait, w.endFirstPollWait)
+	if !w.config.Pushed {
+		defer time.AfterFunc(maxFirstPollWait, w.endFirstPollWait).Stop()
+	}
 	opened, err := w.watch(watchCtx, cancel)
-	firstPollTimer.Stop()
 	addressChanged := w.reportWatchEnd(watchCtx, classifyPollEnd(opened, err))
 	switch {
 	case ctx.Err() != nil:
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -50,6 +50,7 @@
 	DialTimeout           time.Duration                  // timeout for connecting to a worker
 	UnavailableRetryAfter time.Duration                  // Retry-After of 503 responses outside recovery, 0 to omit it
 	DiscoveryAddress      string                         // host and port of the discovery service
+	ListsPushed           bool                           // see discovery.Config.Pushed
 	Peers                 []netip.AddrPort               // all dispatchers by position, including this one
 	Position              int                            // index of this dispatcher in Peers
 	InitialEndpoints      *protocol.EndpointList         // endpoint list at startup, nil if there is none
@@ -116,6 +117,7 @@
 func (p *Proxy) watcherConfig() discovery.Config {
 	c := discovery.Config{
 		Address:     p.config.DiscoveryAddress,
+		Pushed:      p.config.ListsPushed,
 		DialTimeout: func() time.Duration { return p.settings.Load().dialTimeout },
 	}
 	if p.config.Recovery != nil {
