Comments and a name that had to be read twice

By reading the whole change again: the package comment of polling is wrapped, socketInfo names its unknown values in words, a constant does not count the fields beside it, and attemptedOnce is mustNotRepeat. No behaviour changes; the linter and the tests of the packages pass.

--- a/internal/balancer/polling/polling.go
+++ b/internal/balancer/polling/polling.go
@@ -1,9 +1,9 @@
 // Package polling schedules the polls of the endpoint list and decides how long an old list may be used.
 //
-// A successful poll starts a watch: the service pushes changes of the list until the watch ends. Where lists are polled, the
-// discovery service serves many dispatchers, and a poll that times out costs it as much as a poll that it answers. Therefore dispatchers
-// that start together poll one after the other, and after a failure their total poll rate is no higher than at a start.
-// Where lists are pushed, an agent serves this dispatcher alone, and is polled again soon.
+// A successful poll starts a watch: the service sends changes of the list until the watch ends. Where lists are polled,
+// the discovery service serves many dispatchers, and a poll that times out costs it as much as a poll that it answers.
+// Therefore dispatchers that start together poll one after the other, and after a failure their total poll rate is no
+// higher than at a start. Where lists are pushed, an agent serves this dispatcher alone, and is polled again soon.
 package polling
 
 import "canvasroute/internal/balancer/tick"
--- a/internal/protocol/head_parser.go
+++ b/internal/protocol/head_parser.go
@@ -122,8 +122,7 @@
 	return 0, fmt.Errorf("%w: version %.20q", ErrMalformed, version)
 }
 
-// maxUsedFields limits the fields of a head that are kept. There are 14 names, and only Connection and Transfer-Encoding
-// may be repeated.
+// maxUsedFields limits the fields of a head that are kept.
 const maxUsedFields = 64
 
 // typicalUsedFields is the capacity that is allocated at first for the fields of a head.
--- a/internal/proxy/in_flight_request.go
+++ b/internal/proxy/in_flight_request.go
@@ -19,7 +19,7 @@
 	markedRetry    bool      // the client marked the request as a retry
 	closeRequested bool      // the client's connection closes after the response
 	acceptsInterim bool      // the client accepts interim responses
-	attemptedOnce  bool      // an attempt was started, and the request must not be executed again
+	mustNotRepeat  bool      // an attempt was started, and the request must not be executed again
 
 	// result receives the result of the attempt that the balancer selected for the response. It is buffered for one
 	// value, so that the attempt's goroutine never blocks.
--- a/internal/proxy/migration_import.go
+++ b/internal/proxy/migration_import.go
@@ -64,7 +64,7 @@
 		deadline:       migrated.Balancing.Deadline,
 		closeRequested: migrated.CloseRequested,
 		acceptsInterim: migrated.AcceptsInterim,
-		attemptedOnce:  migrated.Balancing.Idempotency != balancer.Idempotent && len(migrated.Balancing.Attempts) > 0,
+		mustNotRepeat:  migrated.Balancing.Idempotency != balancer.Idempotent && len(migrated.Balancing.Attempts) > 0,
 		result:         newResultChannel(),
 	}
 	for number, netConn := range attempts {
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -51,7 +51,7 @@
 // endRequestID frees the ID of a request that has ended, or retains it if the request must not be executed again. response
 // is nil if the client has disconnected.
 func (p *Proxy) endRequestID(r *inFlightRequest, response *protocol.Response) {
-	if r.attemptedOnce && mayHaveBeenExecuted(response) {
+	if r.mustNotRepeat && mayHaveBeenExecuted(response) {
 		p.requestIDs.retain(r.request.ID)
 		return
 	}
@@ -126,7 +126,7 @@
 		}
 		switch decision.Action {
 		case balancer.SendAttempt:
-			r.attemptedOnce = decision.Idempotency != balancer.Idempotent
+			r.mustNotRepeat = decision.Idempotency != balancer.Idempotent
 			p.startAttempt(r, decision)
 		case balancer.RespondResult:
 			return p.respondSucceeded(<-r.result)
--- a/internal/transport/socket_state.go
+++ b/internal/transport/socket_state.go
@@ -24,11 +24,11 @@
 	return raw.Control(func(fd uintptr) { use(int(fd)) })
 }
 
-// socketInfo describes a TCP socket. A field that can't be determined has the value that its comment names.
+// socketInfo describes a TCP socket.
 type socketInfo struct {
-	state         uint8         // unknownState
-	sinceLastData time.Duration // time since data was last received, with millisecond resolution; 0
-	unread        int           // number of received bytes that have not been read; unknownUnread
+	state         uint8         // as in TCP_INFO; unknownState if it can't be determined
+	sinceLastData time.Duration // time since data was last received, in milliseconds; 0 if it can't be determined
+	unread        int           // received bytes that have not been read; unknownUnread if it can't be determined
 }
 
 const (
