Keep the ID of a migrated request in use that cannot be continued

By reading the change again: a request that the successor of a hot restart cannot continue, as its worker is unknown there, is answered 502 though it may have run, and its ID was free again.

The ID of one that must not run again is now retained. TestIDOfARequestThatCannotBeImportedIsRefused failed before (429 in place of 409).

--- a/internal/proxy/migration_import.go
+++ b/internal/proxy/migration_import.go
@@ -28,6 +28,7 @@
 		return ImportedRequest{}, fmt.Errorf("migrated request: %w", err)
 	}
 	if err := p.renumberWorkers(migrated); err != nil {
+		p.retainMigratedID(migrated)
 		return ImportedRequest{MigratedRequest: migrated}, fmt.Errorf("migrated request: %w", err)
 	}
 	operationName := migrated.Request.Operation
@@ -38,6 +39,15 @@
 	return ImportedRequest{MigratedRequest: migrated, Finish: finish}, nil
 }
 
+// retainMigratedID keeps the ID of a migrated request in use that cannot be continued and must not be executed again.
+func (p *Proxy) retainMigratedID(migrated *MigratedRequest) {
+	if migrated.Balancing.Idempotency == balancer.Idempotent {
+		return
+	}
+	p.requestIDs.openMigrated(migrated.Request.ID)
+	p.requestIDs.retain(migrated.Request.ID)
+}
+
 // renumberWorkers replaces the sibling's worker numbers of the attempts with those of this process. It returns an error
 // if a worker is not in this process's endpoint table.
 func (p *Proxy) renumberWorkers(migrated *MigratedRequest) error {
--- a/internal/proxy/migration_test.go
+++ b/internal/proxy/migration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
@@ -12,7 +13,9 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 
+	"canvasroute/internal/balancer"
 	"canvasroute/internal/peertest"
+	"canvasroute/internal/protocol"
 	"canvasroute/internal/transport"
 )
 
@@ -84,6 +87,20 @@
 	assert.Error(t, err)
 }
 
+// A migrated request that cannot be continued may have been executed, so its ID must not be served again.
+func TestIDOfARequestThatCannotBeImportedIsRefused(t *testing.T) {
+	p := newProxy(peertest.ClosedAddress)
+	text, err := json.Marshal(MigratedRequest{
+		Request:   &protocol.Request{ID: "a1"},
+		Balancing: balancer.MigratedRequest{Idempotency: balancer.NonIdempotent, Attempts: make([]balancer.MigratedAttempt, 1)},
+		Workers:   []string{"nobody"},
+	})
+	assert.NoError(t, err)
+	_, err = p.Import(text, nil)
+	assert.ErrorContains(t, err, `"nobody"`)
+	assert.Equal(t, 409, serve(p, requestHead("once")).Status)
+}
+
 // If the reader stops at the same time as the call of tryPause times out, tryPause must report the pause. Otherwise the
 // reader would wait forever.
 func TestPauseAtTimeoutIsReported(t *testing.T) {
